--- a/gateway/include/gateway/fleet_state.h
+++ b/gateway/include/gateway/fleet_state.h
@@ -42,6 +42,13 @@
   void OnStoreLost(TimePoint now) { store_lost_at_ = now; }
   /** Rules that a peer has; taken if they are newer. */
   bool OnPeerRules(std::string_view value);
+  /** How many gateways share the budgets. */
+  void OnGateways(std::size_t gateways) {
+    changed_ = changed_ || gateways != view_.gateways;
+    view_.gateways = gateways;
+  }
+  /** What an order giver told of servers' weights. */
+  void OnRollout(const RolloutMap& told, TimePoint now);
   /** Forgets servers whose grace has passed. */
   void Expire(TimePoint now);
 
@@ -68,6 +75,12 @@
 
   const FleetFormat& format_;
   std::map<std::string, Entry> servers_;
+  struct Told {
+    RolloutState state;
+    TimePoint at{};
+  };
+
+  std::map<std::string, Told> rollout_;
   WeightsTargets weights_;
   std::string rules_text_;
   std::vector<RowFault> faults_;
--- a/gateway/include/gateway/fleet_view.h
+++ b/gateway/include/gateway/fleet_view.h
@@ -31,11 +31,21 @@
 /** The weights version that the operator named last, by model. */
 using WeightsTargets = std::map<std::string, std::int64_t>;
 
+/** How far one server's roll-out is, as the order giver told it. */
+struct RolloutState {
+  std::string model;
+  std::int64_t version = 0;
+  bool switching = false;  // Takes no new request until it is done.
+};
+
+using RolloutMap = std::map<std::string, RolloutState>;
+
 /** Control to traffic: the beliefs in force from now on. */
 struct FleetView {
   std::shared_ptr<const Rules> rules;  // Null until the first is known.
   std::shared_ptr<const ServerMap> servers;
   std::shared_ptr<const WeightsTargets> weights;
+  std::shared_ptr<const RolloutMap> rollout;
   std::size_t gateways = 1;  // Live gateways that share the budgets.
 };
 
--- a/gateway/include/gateway/protocol.h
+++ b/gateway/include/gateway/protocol.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,6 +14,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include "coordination/result.h"
 #include "gateway/fleet_view.h"
@@ -75,6 +77,32 @@
   std::optional<std::int64_t> weights_version;
 };
 
+/** An order to a backend server to load weights. */
+struct WeightsOrder {
+  std::string model;
+  std::int64_t version = 0;
+  std::string holder;      // Who gives orders now.
+  std::int64_t token = 0;  // Fencing token; only grows.
+  std::int64_t expected_orders = 0;  // Carried out only if so many were taken.
+};
+
+/** What a backend server says of its orders and weights. */
+struct ServerReport {
+  std::int64_t orders_taken = 0;
+  bool busy = false;  // An order is being carried out.
+  std::map<std::string, std::int64_t> weights;  // Version by model.
+};
+
+/** What a backend server made of an order. */
+enum class OrderAnswer {
+  kAccepted,     // Is being carried out.
+  kAlreadyHeld,  // The weights are in place.
+  kRefused,      // Another order is under way, or the count differs.
+  kFenced,       // A higher token was seen.
+  kOtherServer,  // Another incarnation has the address.
+  kInvalid,      // The server does not know such an order.
+};
+
 /** The caller's side of the wire. */
 class CallerProtocol {
  public:
@@ -89,6 +117,17 @@
   /** Turns a caller's head into the head for one server, in place. */
   virtual void Prepare(RequestHead& head, const DispatchHead& with) const = 0;
   virtual ServerHead Read(const ResponseHead& head) const = 0;
+  /** The request that asks `server_id` for its report. */
+  virtual http::request<http::string_body> AskReport(
+      const std::string& server_id) const = 0;
+  /** The report in an answer's body, or nothing when it is unreadable. */
+  virtual std::optional<ServerReport> ReadReport(
+      std::string_view body) const = 0;
+  /** The request that gives `server_id` an order. */
+  virtual http::request<http::string_body> MakeOrder(
+      const std::string& server_id,
+      const WeightsOrder& order) const = 0;
+  virtual OrderAnswer ReadOrderAnswer(unsigned status) const = 0;
   /** Removes from an answer what is not meant for callers. */
   virtual void CleanAnswer(ResponseHead& head) const = 0;
 };
--- a/gateway/include/gateway/server_book.h
+++ b/gateway/include/gateway/server_book.h
@@ -38,6 +38,7 @@
   std::int64_t tokens_missing = 0;  // Of the prompt, to be computed there.
   std::optional<runtime::Endpoint> fetch_from;  // Holds more of the prompt.
   std::optional<runtime::Endpoint> save_to;     // Should keep the prompt too.
+  std::string saved_key;  // Under which the book remembers that it was saved.
 };
 
 /** How an attempt at one server ended, as far as it speaks for the server. */
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -192,7 +192,12 @@
   DispatchHead with;
   with.server_id = place.server_id;
   with.organisation = organisation_ == nullptr ? "" : organisation_->name;
-  with.cache_scope = cache_scope_;
+  if (place.weights_version) {
+    // Parts are never shared between versions, nor with a dedicated
+    // organisation.
+    with.cache_scope =
+        "v" + std::to_string(*place.weights_version) + "/" + cache_scope_;
+  }
   with.resume_after = resume_after_;
   with.time_left = std::chrono::duration_cast<Millis>(deadline_ - Now());
   with.weights_version = place.weights_version;
--- a/gateway/src/fleet_state.cc
+++ b/gateway/src/fleet_state.cc
@@ -15,6 +15,9 @@
 // How long after its last failure the store's list may lack live servers.
 constexpr milliseconds kStoreDoubt{3000};
 
+// A switch that is not reported as done by then is no longer waited for.
+constexpr milliseconds kSwitchTimeout{4000};
+
 }  // namespace
 
 void FleetState::OnOperatorRows(const StoredRows& rows, TimePoint /*now*/) {
@@ -114,7 +117,25 @@
   }
 }
 
+void FleetState::OnRollout(const RolloutMap& told, TimePoint now) {
+  for (const auto& [id, state] : told) {
+    if (!servers_.contains(id)) {
+      continue;
+    }
+    Told& known = rollout_[id];
+    changed_ = changed_ || known.state.switching != state.switching ||
+               known.state.version != state.version;
+    known = {state, now};
+  }
+}
+
 void FleetState::Expire(TimePoint now) {
+  for (auto& [id, told] : rollout_) {
+    if (told.state.switching && now - told.at >= kSwitchTimeout) {
+      told.state.switching = false;
+      changed_ = true;
+    }
+  }
   const auto n = std::erase_if(servers_, [&](const auto& it) {
     return it.second.missing_since != TimePoint{} &&
            now - it.second.missing_since >= kMissingGrace;
@@ -140,6 +161,13 @@
   for (const auto& [key, entry] : servers_) {
     servers->emplace(key, entry.server);
   }
+  std::erase_if(rollout_,
+                [&](const auto& it) { return !servers_.contains(it.first); });
+  auto rollout = std::make_shared<RolloutMap>();
+  for (const auto& [id, told] : rollout_) {
+    rollout->emplace(id, told.state);
+  }
+  view_.rollout = std::move(rollout);
   view_.servers = std::move(servers);
   view_.weights = std::make_shared<WeightsTargets>(weights_);
   return true;
--- /dev/null
+++ b/gateway/src/order_giver.cc
@@ -0,0 +1,290 @@
+#include "gateway/order_giver.h"
+
+#include <map>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include "boot_clock.h"
+#include "coordination/ids.h"
+#include "coordination/lease.h"
+#include "gateway/weights_rollout.h"
+#include "runtime/event_log.h"
+#include "runtime/http.h"
+
+namespace peridotgate::gateway {
+namespace {
+
+using coordination::Lease;
+using coordination::LeaseAction;
+using coordination::LeaseRecord;
+using coordination::LeaseWrite;
+using runtime::LogClass;
+using runtime::LogEvent;
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+
+constexpr std::string_view kLeaseTable = "gateway_leases";
+constexpr std::string_view kLeaseKey = "orders";
+// Steps of the giver while there is work.
+constexpr Millis kTick{40};
+// A server answers a report or an order at once, or not at all.
+constexpr Millis kServerTimeout{400};
+// The holder renews this often, and acts for a little longer than that after
+// a renewal, so that one lost answer does not end its turn.
+constexpr Millis kRenewal{600};
+constexpr Millis kHold{1700};
+constexpr Millis kReadPeriod{500};
+
+// Two holders' orders are at least `settings.lease` apart, with the time that
+// an order may be under way.
+coordination::LeaseOptions LeaseTimes(const GatewaySettings& settings) {
+  coordination::LeaseOptions options;
+  options.margin = settings.lease + kServerTimeout;
+  options.length = options.margin + kHold;
+  options.renewal = kRenewal;
+  options.read_period = kReadPeriod;
+  return options;
+}
+
+std::string Format(const LeaseRecord& record) {
+  boost::json::object object;
+  object["holder"] = coordination::ToHex(record.holder);
+  object["token"] = record.token;
+  object["revision"] = record.revision;
+  object["attempt"] = record.attempt;
+  return boost::json::serialize(object);
+}
+
+std::optional<LeaseRecord> Parse(const std::string& text) {
+  boost::system::error_code ec;
+  const boost::json::value value = boost::json::parse(text, ec);
+  if (ec || !value.is_object()) {
+    return std::nullopt;
+  }
+  const auto integer = [&](std::string_view name) -> std::int64_t {
+    const auto* found = value.as_object().if_contains(name);
+    return found != nullptr && found->is_int64() ? found->as_int64() : 0;
+  };
+  const auto* holder = value.as_object().if_contains("holder");
+  LeaseRecord record;
+  if (holder != nullptr && holder->is_string()) {
+    record.holder =
+        coordination::ParseId(std::string_view(holder->as_string()))
+            .value_or(record.holder);
+  }
+  record.token = integer("token");
+  record.revision = integer("revision");
+  record.attempt = integer("attempt");
+  return record;
+}
+
+}  // namespace
+
+struct OrderGiver::Contents {
+  Contents(runtime::Duty& duty,
+           const GatewaySettings& settings,
+           Store& store,
+           const ServerProtocol& servers,
+           Tell tell,
+           runtime::Metrics& metrics)
+      : duty(duty),
+        settings(settings),
+        store(store),
+        servers(servers),
+        tell(std::move(tell)),
+        metrics(metrics),
+        lease(LeaseTimes(settings), coordination::NewId()) {}
+
+  runtime::Duty& duty;
+  const GatewaySettings& settings;
+  Store& store;
+  const ServerProtocol& servers;
+  Tell tell;
+  runtime::Metrics& metrics;
+  BootClock clock;
+  Lease lease;
+  std::int64_t row_version = 0;
+  WeightsRollout rollout;
+  bool holding = false;
+  std::map<std::string, std::shared_ptr<runtime::HttpClient>> clients;
+
+  asio::awaitable<void> Run() {
+    asio::steady_timer timer(duty.context());
+    while (true) {
+      timer.expires_after(kTick);
+      co_await timer.async_wait(kNoThrow);
+      if (!rollout.pending()) {
+        continue;
+      }
+      co_await KeepLease();
+      const bool held = lease.token(clock.Now()).has_value();
+      if (held != holding) {
+        holding = held;
+        LogEvent("order_lease", LogClass::kNotable)
+            .Add("held", held)
+            .Add("token", lease.token(clock.Now()).value_or(0));
+        if (!held) {
+          rollout.Forget();
+        }
+      }
+      if (held) {
+        GiveOrders();
+      }
+    }
+  }
+
+  asio::awaitable<void> KeepLease() {
+    switch (lease.Next(clock.Now())) {
+      case LeaseAction::kNone:
+        co_return;
+      case LeaseAction::kRead:
+        co_await ReadLease();
+        co_return;
+      case LeaseAction::kWrite:
+        co_await WriteLease();
+        co_return;
+    }
+  }
+
+  asio::awaitable<void> ReadLease() {
+    std::string table(kLeaseTable);
+    auto rows = co_await store.ReadAll(std::move(table));
+    if (!rows) {
+      lease.OnReadFailed(clock.Now());
+      co_return;
+    }
+    std::optional<LeaseRecord> record;
+    row_version = 0;
+    for (const StoredRow& it : rows.value().rows) {
+      if (it.key == kLeaseKey) {
+        record = Parse(it.value);
+        row_version = it.version;
+      }
+    }
+    lease.OnRead(record, clock.Now());
+  }
+
+  asio::awaitable<void> WriteLease() {
+    std::string table(kLeaseTable);
+    std::string key(kLeaseKey);
+    std::string value = Format(lease.to_write());
+    auto written = co_await store.Write(std::move(table), std::move(key),
+                                        std::move(value), row_version);
+    if (written) {
+      row_version = written.value();
+      lease.OnWrite(LeaseWrite::kDone, clock.Now());
+      co_return;
+    }
+    switch (written.error()) {
+      case StoreError::kConflict:
+        lease.OnWrite(LeaseWrite::kConflict, clock.Now());
+        co_return;
+      default:
+        // Also what was refused for its rate is read again before it is
+        // believed to have had no effect.
+        lease.OnWrite(LeaseWrite::kUnknown, clock.Now());
+        co_return;
+    }
+  }
+
+  void GiveOrders() {
+    const TimePoint now = clock.Now();
+    while (auto task = rollout.Next(now)) {
+      asio::co_spawn(duty.context(), Deal(*std::move(task)), asio::detached);
+    }
+  }
+
+  std::shared_ptr<runtime::HttpClient> ClientOf(const RolloutTask& task) {
+    auto& client = clients[task.server_id];
+    if (!client) {
+      client =
+          std::make_shared<runtime::HttpClient>(duty.context(), task.address);
+    }
+    return client;
+  }
+
+  asio::awaitable<void> Deal(RolloutTask task) {
+    // Held here, since a server that leaves the list loses its client.
+    const auto client = ClientOf(task);
+    auto ask = servers.AskReport(task.server_id);
+    auto answer = co_await client->Fetch(std::move(ask), kServerTimeout);
+    std::optional<ServerReport> report;
+    if (answer && answer.value().result() == http::status::ok) {
+      report = servers.ReadReport(answer.value().body());
+    }
+    if (!report) {
+      rollout.OnNoReport(task, clock.Now());
+      co_return;
+    }
+    auto order = rollout.OnReport(task, *report, clock.Now());
+    tell(rollout.Progress());
+    if (order) {
+      co_await Give(*client, task, *std::move(order));
+    }
+  }
+
+  asio::awaitable<void> Give(runtime::HttpClient& client,
+                             const RolloutTask& task,
+                             WeightsOrder order) {
+    const auto token = lease.token(clock.Now());
+    if (!token) {
+      rollout.OnNoReport(task, clock.Now());
+      co_return;
+    }
+    order.holder = settings.instance;
+    order.token = *token;
+    auto request = servers.MakeOrder(task.server_id, order);
+    auto sent = co_await client.Fetch(std::move(request), kServerTimeout);
+    std::optional<OrderAnswer> answer;
+    if (sent) {
+      answer = servers.ReadOrderAnswer(sent.value().result_int());
+    }
+    LogEvent("order_given", LogClass::kNotable)
+        .Add("server", task.server_id)
+        .Add("model", order.model)
+        .Add("version", order.version)
+        .Add("token", order.token)
+        .Add("expected_orders", order.expected_orders)
+        .Add("status", sent ? sent.value().result_int() : 0U);
+    metrics.GetCounter("peridotgate_gateway_orders_total").Add();
+    rollout.OnOrderAnswer(task, answer, clock.Now());
+    tell(rollout.Progress());
+  }
+};
+
+OrderGiver::OrderGiver(runtime::Duty& duty,
+                       const GatewaySettings& settings,
+                       Store& store,
+                       const ServerProtocol& servers,
+                       Tell tell,
+                       runtime::Metrics& metrics)
+    : contents_(std::make_shared<Contents>(duty,
+                                           settings,
+                                           store,
+                                           servers,
+                                           std::move(tell),
+                                           metrics)) {}
+
+OrderGiver::~OrderGiver() = default;
+
+void OrderGiver::Start() {
+  asio::co_spawn(contents_->duty.context(), contents_->Run(), asio::detached);
+}
+
+void OrderGiver::OnView(const FleetView& view) {
+  contents_->rollout.OnView(view);
+  if (view.servers) {
+    std::erase_if(contents_->clients, [&](const auto& it) {
+      return !view.servers->contains(it.first);
+    });
+  }
+}
+
+}  // namespace peridotgate::gateway
--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -12,6 +12,8 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "gateway/follower.h"
+#include "gateway/order_giver.h"
+#include "gateway/peer_links.h"
 #include "gateway/traffic.h"
 #include "runtime/duty.h"
 #include "runtime/event_log.h"
@@ -52,6 +54,17 @@
         views_(traffic_duty_,
                kViewCapacity,
                [this](FleetView&& it) { traffic_.OnView(std::move(it)); }),
+        peers_(control_duty_, clock_, settings_, *store_, metrics_),
+        orders_(
+            control_duty_,
+            settings_,
+            *store_,
+            protocols.servers,
+            [this](const RolloutMap& it) {
+              OnRollout(it);
+              peers_.Notify(it);
+            },
+            metrics_),
         follower_(
             control_duty_,
             clock_,
@@ -68,6 +81,7 @@
     std::string error;
     if (!traffic_.Listen(error) ||
         !readiness_.Listen(settings_.readiness, error) ||
+        !peers_.Listen(error) ||
         !operators_.Listen(settings_.operators, error)) {
       std::fprintf(stderr, "listen: %s\n", error.c_str());
       return 1;
@@ -77,6 +91,23 @@
     pages_.Add("/readyz", ready);
     pages_.Add(protocols_.readiness_path, ready);
     follower_.Start();
+    orders_.Start();
+    PeerLinks::Handlers handlers;
+    handlers.on_rollout = [this](const RolloutMap& it) { OnRollout(it); };
+    handlers.on_rules = [this](std::string_view text) {
+      if (follower_.state().OnPeerRules(text)) {
+        follower_.PublishChanges();
+      }
+    };
+    handlers.on_gateways = [this](std::size_t n) {
+      follower_.state().OnGateways(n);
+      follower_.PublishChanges();
+    };
+    handlers.wants_rules = [this] { return !follower_.in_touch(); };
+    handlers.rules = [this]() -> const FleetState& {
+      return follower_.state();
+    };
+    peers_.Start(std::move(handlers));
     asio::co_spawn(control_duty_.context(), WaitForStop(), asio::detached);
     asio::co_spawn(control_duty_.context(), WaitForReload(), asio::detached);
     LogEvent("started", LogClass::kNotable)
@@ -100,12 +131,18 @@
 
   void Publish(const FleetView& view) {
     FleetView copy = view;
+    orders_.OnView(view);
     known_ = view.rules && view.servers && !view.servers->empty();
     if (!views_.TrySend(std::move(copy))) {
       LogEvent("view_dropped", LogClass::kNotable).Add("why", "ring full");
     }
   }
 
+  void OnRollout(const RolloutMap& told) {
+    follower_.state().OnRollout(told, clock_.Now());
+    follower_.PublishChanges();
+  }
+
   runtime::HttpResponse Readiness() const {
     const bool ready = known_ && !leaving_;
     return runtime::MakeResponse(
@@ -163,6 +200,8 @@
   std::unique_ptr<Store> store_;
   Traffic traffic_;
   runtime::Port<FleetView> views_;
+  PeerLinks peers_;
+  OrderGiver orders_;
   Follower follower_;
   runtime::HttpServer readiness_;
   runtime::HttpServer operators_;
--- a/gateway/src/server_book.cc
+++ b/gateway/src/server_book.cc
@@ -26,8 +26,28 @@
 constexpr double kRunningCostMs = 1;
 // Crossing data centres: a round trip, and traffic that is paid for.
 constexpr double kCrossingCostMs = 3;
-// Bringing cached parts from another server, for each thousand tokens.
-constexpr double kFetchCostMsPerKilotoken = 2;
+// Bringing a cached token from the cache store, whose link carries some 33
+// Gbit/s for tokens of 18 KB.
+constexpr double kFetchCostMsPerToken = 0.005;
+// Prompts that share less than this are placed by load alone.
+constexpr std::int64_t kLeastSharedTokens = 1024;
+// A part saved this recently is taken to be in the cache store.
+constexpr seconds kSavedFor{20};
+// Parts that are remembered as saved.
+constexpr std::size_t kSavedParts = 8192;
+// Old weights cost nothing for this long after new ones were named, then are
+// avoided, and are not used at all shortly before the operator's limit.
+constexpr milliseconds kOldWeightsFree{1300};
+constexpr double kOldWeightsCostMs = 120;
+constexpr milliseconds kOldWeightsLimit{8500};
+// Versions of one model whose naming is remembered.
+constexpr std::size_t kNamedVersions = 32;
+// A process that starts can't know when weights were named.
+constexpr milliseconds kNamedBeforeStart{5000};
+// A server whose switch was not reported as done is tried again after this.
+constexpr milliseconds kSwitchTimeout{4000};
+// The part of a plain request's time that a full server adds.
+constexpr double kBusyPlainShare = 0.25;
 // Fixed cost of not being at the server that all gateways prefer for a prefix:
 // the copy takes memory twice.
 constexpr double kAwayCostMs = 40;
@@ -58,20 +78,46 @@
   TimePoint distrusted_until{};
   bool replaced = false;  // Another incarnation answers at the address.
   std::map<std::string, std::int64_t> learned;  // Weights by model, as told.
+  std::optional<TimePoint> switching_since;
   PartMemory parts;
 
-  std::optional<std::int64_t> Version(std::string_view model) const {
-    const std::string key(model);
-    auto told = learned.find(key);
-    auto listed = about.weights.find(key);
-    std::optional<std::int64_t> version;
-    if (listed != about.weights.end()) {
-      version = listed->second;
+  bool Switching(TimePoint now) const {
+    return switching_since && now - *switching_since < kSwitchTimeout;
+  }
+
+  // New weights leave nothing of what was cached.
+  void Learn(const std::string& model, std::int64_t version) {
+    std::int64_t& known = learned[model];
+    if (version > known) {
+      if (known != 0) {
+        parts.Clear();
+      }
+      known = version;
+    }
+  }
+
+  void Take(const BackendServer& listed) {
+    about = listed;
+    for (const auto& [model, version] : about.weights) {
+      Learn(model, version);
     }
-    if (told != learned.end()) {
-      version = std::max(version.value_or(0), told->second);
+  }
+
+  void Take(const RolloutState& told, TimePoint now) {
+    Learn(told.model, told.version);
+    if (!told.switching) {
+      switching_since.reset();
+    } else if (!switching_since) {
+      switching_since = now;
     }
-    return version;
+  }
+
+  std::optional<std::int64_t> Version(std::string_view model) const {
+    auto found = learned.find(std::string(model));
+    if (found == learned.end()) {
+      return std::nullopt;
+    }
+    return found->second;
   }
 
   // Requests there now: what it said last and what we have sent since.
@@ -88,6 +134,32 @@
   }
 };
 
+// A request's prompt, as placement reads it.
+struct Prompt {
+  std::string anchor;  // Key of the deepest part that others share; or empty.
+  std::size_t shared_parts = 0;
+  std::int64_t shared_tokens = 0;
+  std::int64_t tokens = 0;
+  const Server* home = nullptr;  // All gateways prefer it for the anchor.
+  std::int64_t newest = 0;       // Weights that some server has, as named.
+};
+
+// What a server would make of a request.
+struct Scored {
+  const Server* server = nullptr;
+  double cost_ms = 0;
+  std::int64_t missing = 0;  // Tokens to be computed.
+  bool unsure = false;       // Shared parts may not be there.
+};
+
+// Parts are told apart by the scope within which they are shared.
+std::string PartKey(std::string_view scope, std::string_view id) {
+  std::string key(scope);
+  key += '/';
+  key += id;
+  return key;
+}
+
 }  // namespace
 
 struct ServerBook::Contents {
@@ -96,6 +168,11 @@
   std::shared_ptr<const Rules> rules;
   std::shared_ptr<const WeightsTargets> targets;
   std::optional<runtime::Endpoint> cache_store;
+  // When each of the last versions was named, by model.
+  std::map<std::string, std::map<std::int64_t, TimePoint>, std::less<>>
+      named_at;
+  PartMemory saved{kSavedParts};
+  TimePoint started{};
 
   std::span<Server* const> Of(std::string_view service) const {
     auto found = by_service.find(service);
@@ -111,28 +188,154 @@
     return Usable(it) && now >= it.distrusted_until;
   }
 
+  // The newest version that was named and that some server has.
   std::int64_t NewestVersion(std::string_view model,
                              std::span<Server* const> of) const {
     std::int64_t newest = 0;
-    if (targets) {
-      auto found = targets->find(std::string(model));
-      newest = found == targets->end() ? 0 : found->second;
-    }
-    std::int64_t present = 0;
     for (const Server* it : of) {
-      present = std::max(present, it->Version(model).value_or(0));
+      if (Usable(*it)) {
+        newest = std::max(newest, it->Version(model).value_or(0));
+      }
+    }
+    return newest;
+  }
+
+  // How long ago the first version after `version` was named.
+  coordination::Duration Outdated(std::string_view model,
+                                  std::int64_t version,
+                                  TimePoint now) const {
+    const auto named = named_at.find(model);
+    if (named == named_at.end()) {
+      return {};
+    }
+    const auto next = named->second.upper_bound(version);
+    return next == named->second.end() ? coordination::Duration{}
+                                       : now - next->second;
+  }
+
+  Prompt Read(const Need& need) const {
+    Prompt prompt;
+    if (need.model.empty()) {
+      return prompt;
+    }
+    const auto all = Of(need.service);
+    prompt.newest = NewestVersion(need.model, all);
+    prompt.shared_parts = need.prompt.empty() ? 0 : need.prompt.size() - 1;
+    for (std::size_t i = 0; i < need.prompt.size(); ++i) {
+      prompt.tokens += need.prompt[i].tokens;
+      prompt.shared_tokens +=
+          i < prompt.shared_parts ? need.prompt[i].tokens : 0;
+    }
+    // Short shared parts are cheaper to read again than to look for.
+    if (prompt.shared_tokens < kLeastSharedTokens) {
+      return prompt;
     }
-    return std::min(newest, present) == 0 ? present : std::min(newest, present);
+    prompt.anchor =
+        PartKey(need.cache_scope, need.prompt[prompt.shared_parts - 1].id);
+    std::uint64_t best = 0;
+    for (const Server* it : all) {
+      const std::uint64_t hash = Hash(prompt.anchor, it->about.id);
+      if (Usable(*it) && (prompt.home == nullptr || hash > best)) {
+        prompt.home = it;
+        best = hash;
+      }
+    }
+    return prompt;
+  }
+
+  double Base(const Server& it, const Need& need) const {
+    return it.about.data_centre == need.data_centre ? 0 : kCrossingCostMs;
+  }
+
+  // Answers the load of short calls: the least full server, by what it said
+  // last and what was sent since.
+  std::optional<Scored> ScorePlain(const Server& it,
+                                   const Need& need,
+                                   TimePoint now) const {
+    const double slots = std::max(1, it.about.slots);
+    const double present = it.Present(now);
+    const double ahead = std::max(0.0, present + 1 - slots);
+    const double cost =
+        it.Slowness(now) * kPlainWorkMs *
+        (1 + ahead / slots + kBusyPlainShare * present / slots);
+    return Scored{&it, Base(it, need) + cost, 0, false};
+  }
+
+  // Answers the load of long shared prompts: the work that is missing at the
+  // server against the work that waits there.
+  std::optional<Scored> ScoreEngine(const Server& it,
+                                    const Need& need,
+                                    const Prompt& prompt,
+                                    TimePoint now) const {
+    if (it.Switching(now)) {
+      return std::nullopt;
+    }
+    double cost = Base(it, need);
+    const std::int64_t version = it.Version(need.model).value_or(0);
+    if (version < prompt.newest) {
+      const auto age = Outdated(need.model, version, now);
+      if (age >= kOldWeightsLimit) {
+        return std::nullopt;
+      }
+      cost += age >= kOldWeightsFree ? kOldWeightsCostMs : 0;
+    }
+    Scored score{&it, 0, prompt.tokens, false};
+    if (!prompt.anchor.empty()) {
+      const bool known = it.parts.Has(prompt.anchor, now);
+      score.unsure = !known;
+      score.missing = prompt.tokens - prompt.shared_tokens;
+      const auto shared = static_cast<double>(prompt.shared_tokens);
+      if (!known && &it == prompt.home) {
+        cost += kFetchCostMsPerToken * shared;
+      } else if (!known) {
+        cost += kAwayCostMs + kFetchCostMsPerToken * shared;
+      }
+    }
+    const double waiting = now - it.load_at <= kLoadAge ? it.load.waiting : 0;
+    cost += it.Slowness(now) *
+            (static_cast<double>(score.missing + it.unread_tokens) /
+                 kPrefillTokensPerMs +
+             waiting * kWaitingCostMs + it.Present(now) * kRunningCostMs);
+    score.cost_ms = cost;
+    return score;
+  }
+
+  Placement MakePlacement(const Scored& score,
+                          const Need& need,
+                          const Prompt& prompt,
+                          TimePoint now) const {
+    const Server& it = *score.server;
+    Placement place;
+    place.server_id = it.about.id;
+    place.address = it.about.address;
+    place.cost_ms = score.cost_ms;
+    place.tokens_missing = score.missing;
+    if (need.model.empty()) {
+      return place;
+    }
+    place.weights_version = it.Version(need.model);
+    if (prompt.anchor.empty() || !cache_store || !place.weights_version) {
+      return place;
+    }
+    place.saved_key =
+        std::to_string(*place.weights_version) + "/" + prompt.anchor;
+    if (score.unsure) {
+      place.fetch_from = cache_store;
+    }
+    if (now - saved.LastUse(place.saved_key) >= kSavedFor) {
+      place.save_to = cache_store;
+    }
+    return place;
   }
 };
 
 ServerBook::ServerBook() : contents_(std::make_unique<Contents>()) {}
 ServerBook::~ServerBook() = default;
 
-void ServerBook::OnView(const FleetView& view, TimePoint /*now*/) {
+void ServerBook::OnView(const FleetView& view, TimePoint now) {
   Contents& it = *contents_;
+  const bool first = !it.rules;
   it.rules = view.rules;
-  it.targets = view.weights;
   it.cache_store.reset();
   if (view.rules) {
     for (const Service& service : view.rules->services()) {
@@ -141,6 +344,20 @@
       }
     }
   }
+  if (view.weights) {
+    for (const auto& [model, version] : *view.weights) {
+      const bool known = it.targets && it.targets->contains(model) &&
+                         it.targets->at(model) == version;
+      if (!known) {
+        auto& named = it.named_at[model];
+        named[version] = first ? now - kNamedBeforeStart : now;
+        if (named.size() > kNamedVersions) {
+          named.erase(named.begin());
+        }
+      }
+    }
+  }
+  it.targets = view.weights;
   static const ServerMap kNone;
   const ServerMap& listed = view.servers ? *view.servers : kNone;
   std::erase_if(it.servers, [&](const auto& entry) {
@@ -159,7 +376,13 @@
             kCachedShare * static_cast<double>(service->engine->kv_tokens)));
       }
     }
-    server.about = about;
+    server.Take(about);
+    if (view.rollout) {
+      auto told = view.rollout->find(id);
+      if (told != view.rollout->end()) {
+        server.Take(told->second, now);
+      }
+    }
     it.by_service[about.service].push_back(&server);
   }
 }
@@ -167,89 +390,28 @@
 std::optional<Placement> ServerBook::Place(const Need& need,
                                            TimePoint now) const {
   const Contents& book = *contents_;
-  const auto all = book.Of(need.service);
-  // The deepest part that is shared with other requests.
-  const std::size_t shared =
-      need.prompt.empty() ? 0 : need.prompt.size() - 1;
-  const std::string_view anchor =
-      shared == 0 ? std::string_view() : need.prompt[shared - 1].id;
-  const std::int64_t newest =
-      need.model.empty() ? 0 : book.NewestVersion(need.model, all);
-
-  std::int64_t prompt_tokens = 0;
-  for (const PromptPart& it : need.prompt) {
-    prompt_tokens += it.tokens;
-  }
-
-  // The server that every gateway prefers for the prefix.
-  const Server* home = nullptr;
-  std::uint64_t best_hash = 0;
-  if (!anchor.empty()) {
-    for (const Server* it : all) {
-      if (!Contents::Usable(*it)) {
+  const Prompt prompt = book.Read(need);
+  const Scored* best = nullptr;
+  std::vector<Scored> scored;
+  // Servers that failed of late are used only when there is no other.
+  for (const bool trusted_only : {true, false}) {
+    for (const Server* it : book.Of(need.service)) {
+      if (trusted_only ? !Contents::Trusted(*it, now) : !Contents::Usable(*it)) {
         continue;
       }
-      const std::uint64_t hash = Hash(anchor, it->about.id);
-      if (home == nullptr || hash > best_hash) {
-        home = it;
-        best_hash = hash;
-      }
-    }
-  }
-
-  const Server* best = nullptr;
-  double best_cost = std::numeric_limits<double>::infinity();
-  std::int64_t best_missing = 0;
-  bool best_fetches = false;
-  for (const int pass : {0, 1}) {
-    for (const Server* it : all) {
-      const bool may = pass == 0 ? Contents::Trusted(*it, now)
-                                 : Contents::Usable(*it);
-      if (!may || std::find(need.avoided.begin(), need.avoided.end(),
-                            it->about.id) != need.avoided.end()) {
+      if (std::find(need.avoided.begin(), need.avoided.end(), it->about.id) !=
+          need.avoided.end()) {
         continue;
       }
-      double cost = it->about.data_centre == need.data_centre ? 0 : kCrossingCostMs;
-      std::int64_t missing = prompt_tokens;
-      bool fetches = false;
-      if (need.model.empty()) {
-        const double slots = std::max(1, it->about.slots);
-        const double ahead = std::max(0.0, it->Present(now) + 1 - slots);
-        cost += it->Slowness(now) * kPlainWorkMs *
-                (1 + ahead / slots + it->Present(now) / slots / 4);
-      } else {
-        const auto version = it->Version(need.model);
-        if (version && *version < newest) {
-          continue;
-        }
-        std::int64_t cached = 0;
-        std::int64_t shared_tokens = 0;
-        for (std::size_t i = 0; i < shared; ++i) {
-          shared_tokens += need.prompt[i].tokens;
-          if (it == home || it->parts.Has(need.prompt[i].id, now)) {
-            cached = shared_tokens;
-          }
-        }
-        missing = prompt_tokens - cached;
-        if (it != home && !anchor.empty() && cached < shared_tokens) {
-          fetches = true;
-          missing = prompt_tokens - shared_tokens;
-          cost += kAwayCostMs + kFetchCostMsPerKilotoken *
-                                    static_cast<double>(shared_tokens - cached) /
-                                    1000;
-        }
-        const double load =
-            now - it->load_at <= kLoadAge ? it->load.waiting : 0;
-        cost += it->Slowness(now) *
-                (static_cast<double>(missing + it->unread_tokens) /
-                     kPrefillTokensPerMs +
-                 load * kWaitingCostMs + it->Present(now) * kRunningCostMs);
+      auto score = need.model.empty() ? book.ScorePlain(*it, need, now)
+                                      : book.ScoreEngine(*it, need, prompt, now);
+      if (score) {
+        scored.push_back(*score);
       }
-      if (cost < best_cost) {
-        best = it;
-        best_cost = cost;
-        best_missing = missing;
-        best_fetches = fetches;
+    }
+    for (const Scored& it : scored) {
+      if (best == nullptr || it.cost_ms < best->cost_ms) {
+        best = &it;
       }
     }
     if (best != nullptr) {
@@ -259,19 +421,7 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  Placement place;
-  place.server_id = best->about.id;
-  place.address = best->about.address;
-  place.cost_ms = best_cost;
-  place.tokens_missing = best_missing;
-  if (!need.model.empty()) {
-    place.weights_version = best->Version(need.model);
-    if (best_fetches && home != nullptr && home != best &&
-        home->Version(need.model) == place.weights_version) {
-      place.fetch_from = home->about.address;
-    }
-  }
-  return place;
+  return book.MakePlacement(*best, need, prompt, now);
 }
 
 bool ServerBook::HasServer(std::string_view service, TimePoint /*now*/) const {
@@ -314,7 +464,10 @@
   ++it.in_flight;
   it.unread_tokens += placement.tokens_missing;
   for (const PromptPart& part : need.prompt) {
-    it.parts.Touch(part.id, part.tokens, now);
+    it.parts.Touch(PartKey(need.cache_scope, part.id), part.tokens, now);
+  }
+  if (placement.save_to) {
+    contents_->saved.Touch(placement.saved_key, 1, now);
   }
 }
 
@@ -372,10 +525,8 @@
   if (found == contents_->servers.end()) {
     return;
   }
-  Server& it = found->second;
-  const std::string key(model);
   if (version) {
-    it.learned[key] = *version;
+    found->second.Learn(std::string(model), *version);
   }
 }
 
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -6321,6 +6321,439 @@
 }
 
 
+RolloutServer::~RolloutServer() noexcept {
+}
+
+
+void RolloutServer::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void RolloutServer::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void RolloutServer::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void RolloutServer::__set_switching(const bool val) {
+  this->switching = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutServer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutServer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->switching);
+          this->__isset.switching = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutServer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutServer");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("switching", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->switching);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutServer &a, RolloutServer &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.model, b.model);
+  swap(a.version, b.version);
+  swap(a.switching, b.switching);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutServer::RolloutServer(const RolloutServer& other181) {
+  id = other181.id;
+  model = other181.model;
+  version = other181.version;
+  switching = other181.switching;
+  __isset = other181.__isset;
+}
+RolloutServer::RolloutServer(RolloutServer&& other182) noexcept {
+  id = std::move(other182.id);
+  model = std::move(other182.model);
+  version = other182.version;
+  switching = other182.switching;
+  __isset = other182.__isset;
+}
+RolloutServer& RolloutServer::operator=(const RolloutServer& other183) {
+  id = other183.id;
+  model = other183.model;
+  version = other183.version;
+  switching = other183.switching;
+  __isset = other183.__isset;
+  return *this;
+}
+RolloutServer& RolloutServer::operator=(RolloutServer&& other184) noexcept {
+  id = std::move(other184.id);
+  model = std::move(other184.model);
+  version = other184.version;
+  switching = other184.switching;
+  __isset = other184.__isset;
+  return *this;
+}
+void RolloutServer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutServer(";
+  out << "id=" << to_string(id);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "switching=" << to_string(switching);
+  out << ")";
+}
+
+
+RolloutNotice::~RolloutNotice() noexcept {
+}
+
+
+void RolloutNotice::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void RolloutNotice::__set_servers(const std::vector<RolloutServer> & val) {
+  this->servers = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size185;
+            ::apache::thrift::protocol::TType _etype188;
+            xfer += iprot->readListBegin(_etype188, _size185);
+            this->servers.resize(_size185);
+            uint32_t _i189;
+            for (_i189 = 0; _i189 < _size185; ++_i189)
+            {
+              xfer += this->servers[_i189].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutNotice");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<RolloutServer> ::const_iterator _iter190;
+    for (_iter190 = this->servers.begin(); _iter190 != this->servers.end(); ++_iter190)
+    {
+      xfer += (*_iter190).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutNotice &a, RolloutNotice &b) {
+  using ::std::swap;
+  swap(a.instance, b.instance);
+  swap(a.servers, b.servers);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutNotice::RolloutNotice(const RolloutNotice& other191) {
+  instance = other191.instance;
+  servers = other191.servers;
+  __isset = other191.__isset;
+}
+RolloutNotice::RolloutNotice(RolloutNotice&& other192) noexcept {
+  instance = std::move(other192.instance);
+  servers = std::move(other192.servers);
+  __isset = other192.__isset;
+}
+RolloutNotice& RolloutNotice::operator=(const RolloutNotice& other193) {
+  instance = other193.instance;
+  servers = other193.servers;
+  __isset = other193.__isset;
+  return *this;
+}
+RolloutNotice& RolloutNotice::operator=(RolloutNotice&& other194) noexcept {
+  instance = std::move(other194.instance);
+  servers = std::move(other194.servers);
+  __isset = other194.__isset;
+  return *this;
+}
+void RolloutNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutNotice(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "servers=" << to_string(servers);
+  out << ")";
+}
+
+
+RulesCopy::~RulesCopy() noexcept {
+}
+
+
+void RulesCopy::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void RulesCopy::__set_text(const std::string& val) {
+  this->text = val;
+}
+std::ostream& operator<<(std::ostream& out, const RulesCopy& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RulesCopy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RulesCopy::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RulesCopy");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RulesCopy &a, RulesCopy &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+RulesCopy::RulesCopy(const RulesCopy& other195) {
+  version = other195.version;
+  text = other195.text;
+  __isset = other195.__isset;
+}
+RulesCopy::RulesCopy(RulesCopy&& other196) noexcept {
+  version = other196.version;
+  text = std::move(other196.text);
+  __isset = other196.__isset;
+}
+RulesCopy& RulesCopy::operator=(const RulesCopy& other197) {
+  version = other197.version;
+  text = other197.text;
+  __isset = other197.__isset;
+  return *this;
+}
+RulesCopy& RulesCopy::operator=(RulesCopy&& other198) noexcept {
+  version = other198.version;
+  text = std::move(other198.text);
+  __isset = other198.__isset;
+  return *this;
+}
+void RulesCopy::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RulesCopy(";
+  out << "version=" << to_string(version);
+  out << ", " << "text=" << to_string(text);
+  out << ")";
+}
+
+
 ClaimRecord::~ClaimRecord() noexcept {
 }
 
@@ -6410,9 +6843,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast181;
-          xfer += iprot->readI32(ecast181);
-          this->state = static_cast<ClaimState::type>(ecast181);
+          int32_t ecast199;
+          xfer += iprot->readI32(ecast199);
+          this->state = static_cast<ClaimState::type>(ecast199);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6517,50 +6950,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRecord::ClaimRecord(const ClaimRecord& other182) {
-  attempt_token = other182.attempt_token;
-  agent = other182.agent;
-  body_digest = other182.body_digest;
-  state = other182.state;
-  status = other182.status;
-  content_type = other182.content_type;
-  body = other182.body;
-  at_ms = other182.at_ms;
-  __isset = other182.__isset;
-}
-ClaimRecord::ClaimRecord(ClaimRecord&& other183) noexcept {
-  attempt_token = std::move(other183.attempt_token);
-  agent = std::move(other183.agent);
-  body_digest = std::move(other183.body_digest);
-  state = other183.state;
-  status = other183.status;
-  content_type = std::move(other183.content_type);
-  body = std::move(other183.body);
-  at_ms = other183.at_ms;
-  __isset = other183.__isset;
-}
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other184) {
-  attempt_token = other184.attempt_token;
-  agent = other184.agent;
-  body_digest = other184.body_digest;
-  state = other184.state;
-  status = other184.status;
-  content_type = other184.content_type;
-  body = other184.body;
-  at_ms = other184.at_ms;
-  __isset = other184.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other200) {
+  attempt_token = other200.attempt_token;
+  agent = other200.agent;
+  body_digest = other200.body_digest;
+  state = other200.state;
+  status = other200.status;
+  content_type = other200.content_type;
+  body = other200.body;
+  at_ms = other200.at_ms;
+  __isset = other200.__isset;
+}
+ClaimRecord::ClaimRecord(ClaimRecord&& other201) noexcept {
+  attempt_token = std::move(other201.attempt_token);
+  agent = std::move(other201.agent);
+  body_digest = std::move(other201.body_digest);
+  state = other201.state;
+  status = other201.status;
+  content_type = std::move(other201.content_type);
+  body = std::move(other201.body);
+  at_ms = other201.at_ms;
+  __isset = other201.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other202) {
+  attempt_token = other202.attempt_token;
+  agent = other202.agent;
+  body_digest = other202.body_digest;
+  state = other202.state;
+  status = other202.status;
+  content_type = other202.content_type;
+  body = other202.body;
+  at_ms = other202.at_ms;
+  __isset = other202.__isset;
   return *this;
 }
-ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other185) noexcept {
-  attempt_token = std::move(other185.attempt_token);
-  agent = std::move(other185.agent);
-  body_digest = std::move(other185.body_digest);
-  state = other185.state;
-  status = other185.status;
-  content_type = std::move(other185.content_type);
-  body = std::move(other185.body);
-  at_ms = other185.at_ms;
-  __isset = other185.__isset;
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other203) noexcept {
+  attempt_token = std::move(other203.attempt_token);
+  agent = std::move(other203.agent);
+  body_digest = std::move(other203.body_digest);
+  state = other203.state;
+  status = other203.status;
+  content_type = std::move(other203.content_type);
+  body = std::move(other203.body);
+  at_ms = other203.at_ms;
+  __isset = other203.__isset;
   return *this;
 }
 void ClaimRecord::printTo(std::ostream& out) const {
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -190,6 +190,12 @@
 
 class FleetRules;
 
+class RolloutServer;
+
+class RolloutNotice;
+
+class RulesCopy;
+
 class ClaimRecord;
 
 typedef struct _Id__isset {
@@ -2425,6 +2431,175 @@
 
 std::ostream& operator<<(std::ostream& out, const FleetRules& obj);
 
+typedef struct _RolloutServer__isset {
+  _RolloutServer__isset() : id(false), model(false), version(false), switching(false) {}
+  bool id :1;
+  bool model :1;
+  bool version :1;
+  bool switching :1;
+} _RolloutServer__isset;
+
+class RolloutServer : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutServer(const RolloutServer&);
+  RolloutServer(RolloutServer&&) noexcept;
+  RolloutServer& operator=(const RolloutServer&);
+  RolloutServer& operator=(RolloutServer&&) noexcept;
+  RolloutServer() noexcept
+                : id(),
+                  model(),
+                  version(0),
+                  switching(0) {
+  }
+
+  virtual ~RolloutServer() noexcept;
+  std::string id;
+  std::string model;
+  int64_t version;
+  bool switching;
+
+  _RolloutServer__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_model(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_switching(const bool val);
+
+  bool operator == (const RolloutServer & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(model == rhs.model))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(switching == rhs.switching))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutServer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutServer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutServer &a, RolloutServer &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutServer& obj);
+
+typedef struct _RolloutNotice__isset {
+  _RolloutNotice__isset() : instance(false), servers(false) {}
+  bool instance :1;
+  bool servers :1;
+} _RolloutNotice__isset;
+
+class RolloutNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutNotice(const RolloutNotice&);
+  RolloutNotice(RolloutNotice&&) noexcept;
+  RolloutNotice& operator=(const RolloutNotice&);
+  RolloutNotice& operator=(RolloutNotice&&) noexcept;
+  RolloutNotice() noexcept
+                : instance() {
+  }
+
+  virtual ~RolloutNotice() noexcept;
+  std::string instance;
+  std::vector<RolloutServer>  servers;
+
+  _RolloutNotice__isset __isset;
+
+  void __set_instance(const std::string& val);
+
+  void __set_servers(const std::vector<RolloutServer> & val);
+
+  bool operator == (const RolloutNotice & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutNotice &a, RolloutNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutNotice& obj);
+
+typedef struct _RulesCopy__isset {
+  _RulesCopy__isset() : version(false), text(false) {}
+  bool version :1;
+  bool text :1;
+} _RulesCopy__isset;
+
+class RulesCopy : public virtual ::apache::thrift::TBase {
+ public:
+
+  RulesCopy(const RulesCopy&);
+  RulesCopy(RulesCopy&&) noexcept;
+  RulesCopy& operator=(const RulesCopy&);
+  RulesCopy& operator=(RulesCopy&&) noexcept;
+  RulesCopy() noexcept
+            : version(0),
+              text() {
+  }
+
+  virtual ~RulesCopy() noexcept;
+  int64_t version;
+  std::string text;
+
+  _RulesCopy__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const RulesCopy & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const RulesCopy &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RulesCopy & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RulesCopy &a, RulesCopy &b);
+
+std::ostream& operator<<(std::ostream& out, const RulesCopy& obj);
+
 typedef struct _ClaimRecord__isset {
   _ClaimRecord__isset() : attempt_token(false), agent(false), body_digest(false), state(false), status(false), content_type(false), body(false), at_ms(false) {}
   bool attempt_token :1;
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -173,6 +173,14 @@
   1: list<TargetRules> targets, 2: list<string> operator_key_digests
 }
 
+// Between gateways: how far the roll-out of weights is, and the rules as the
+// operator wrote them.
+struct RolloutServer {
+  1: string id, 2: string model, 3: i64 version, 4: bool switching
+}
+struct RolloutNotice { 1: string instance, 2: list<RolloutServer> servers }
+struct RulesCopy { 1: i64 version, 2: binary text }
+
 // A claim on an idempotency key, as kept in the platform's table. It is never
 // taken over: `attempt_token` names the only attempt that may run.
 enum ClaimState { kClaimed = 1, kDone = 2, kNotRun = 3 }
