--- a/gateway/include/gateway/fleet_state.h
+++ b/gateway/include/gateway/fleet_state.h
@@ -42,11 +42,8 @@
   void OnStoreLost(TimePoint now) { store_lost_at_ = now; }
   /** Rules that a peer has; taken if they are newer. */
   bool OnPeerRules(std::string_view value);
-  /** How many gateways share the budgets. */
-  void OnGateways(std::size_t gateways) {
-    changed_ = changed_ || gateways != view_.gateways;
-    view_.gateways = gateways;
-  }
+  /** The other gateways; all share the budgets. */
+  void OnPeers(std::vector<runtime::Endpoint> peers);
   /** What an order giver told of servers' weights. */
   void OnRollout(const RolloutMap& told, TimePoint now);
   /** Forgets servers whose grace has passed. */
--- a/gateway/include/gateway/fleet_view.h
+++ b/gateway/include/gateway/fleet_view.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "gateway/rules.h"
 #include "runtime/settings_reader.h"
@@ -46,6 +47,7 @@
   std::shared_ptr<const ServerMap> servers;
   std::shared_ptr<const WeightsTargets> weights;
   std::shared_ptr<const RolloutMap> rollout;
+  std::shared_ptr<const std::vector<runtime::Endpoint>> peers;
   std::size_t gateways = 1;  // Live gateways that share the budgets.
 };
 
--- a/gateway/include/gateway/peer_links.h
+++ b/gateway/include/gateway/peer_links.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "coordination/clock.h"
 #include "gateway/fleet_source.h"
@@ -25,7 +26,7 @@
   struct Handlers {
     std::function<void(const RolloutMap&)> on_rollout;
     std::function<void(std::string_view)> on_rules;
-    std::function<void(std::size_t)> on_gateways;
+    std::function<void(std::vector<runtime::Endpoint>)> on_peers;
     std::function<bool()> wants_rules;  // The store can't be asked.
     std::function<const FleetState&()> rules;
   };
--- a/gateway/include/gateway/server_book.h
+++ b/gateway/include/gateway/server_book.h
@@ -50,6 +50,14 @@
   kNeutral,     // Ended by the caller or by a deadline that was short.
 };
 
+/** What a gateway has at one server now. */
+struct ServerUse {
+  std::string server_id;
+  int in_flight = 0;
+  std::int64_t unread_tokens = 0;  // Of prompts before their first byte.
+  bool operator==(const ServerUse&) const = default;
+};
+
 /** One server as operators see it. */
 struct ServerStatus {
   std::string id;
@@ -93,6 +101,13 @@
   void OnFirstByte(const Placement& placement);
   void OnEnd(const Placement& placement, AttemptOutcome outcome, TimePoint now);
 
+  /** What this gateway has at each server that it uses now. */
+  std::vector<ServerUse> OwnUse() const;
+  /** What another gateway has at servers, in place of what it told before. */
+  void OnPeerUse(std::string_view peer,
+                 std::span<const ServerUse> uses,
+                 TimePoint now);
+
   /** The server refused since its weights have another version. */
   void OnOtherVersion(std::string_view server_id, std::string_view model,
                       std::optional<std::int64_t> version);
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -227,8 +227,10 @@
 
 asio::awaitable<Exchange::Step> Exchange::TryServer(const Placement& place) {
   last_server_ = place.server_id;
+  prompt_unread_ = true;
   const Need need = MakeNeed();
   parts_.book.OnDispatch(place, need, Now());
+  parts_.on_use_changed();
   AttemptOutcome outcome = AttemptOutcome::kNeutral;
   Step step = Step::kNotRun;
   connection_ = co_await Connect(place);
@@ -258,8 +260,9 @@
     }
   }
   connection_.reset();
-  parts_.book.OnFirstByte(place);
+  ReadPrompt(place);
   parts_.book.OnEnd(place, outcome, Now());
+  parts_.on_use_changed();
   if (step != Step::kDone) {
     LogEvent("attempt_failed", LogClass::kNotable)
         .Add("request", request_.request_id)
@@ -336,7 +339,7 @@
       }
       co_return Step::kMayHaveRun;
     }
-    parts_.book.OnFirstByte(place);
+    ReadPrompt(place);
     body += piece.value().bytes;
     if (piece.value().last) {
       break;
@@ -385,6 +388,15 @@
   co_return co_await caller_.BeginChunks(clean, bytes, keep_);
 }
 
+// The server has read the prompt of the present attempt. Counted once.
+void Exchange::ReadPrompt(const Placement& place) {
+  if (prompt_unread_) {
+    prompt_unread_ = false;
+    parts_.book.OnFirstByte(place);
+    parts_.on_use_changed();
+  }
+}
+
 // Passes whole events on as they come. What comes after the last whole event
 // leaves only when the stream ends properly.
 asio::awaitable<Exchange::Step> Exchange::RelayEvents(
@@ -414,7 +426,7 @@
       whole += events.rest();
     }
     if (!whole.empty()) {
-      parts_.book.OnFirstByte(place);
+      ReadPrompt(place);
       const bool sent = co_await PassOn(head, whole);
       if (!sent) {
         connection_->Cancel();
@@ -492,7 +504,8 @@
 void Exchange::Finish(std::string_view outcome, unsigned status) {
   const TimePoint now = Now();
   const bool served = outcome == "served" && status < 500;
-  const std::string_view route = route_ == nullptr ? "" : route_->name;
+  const std::string_view route =
+      route_ == nullptr ? std::string_view() : std::string_view(route_->name);
   parts_.metrics
       .GetCounter("peridotgate_gateway_requests_total", {{"outcome", outcome}})
       .Add();
--- a/gateway/src/exchange.h
+++ b/gateway/src/exchange.h
@@ -68,6 +68,7 @@
   bool MayTryAgain(Step step) const;
   asio::awaitable<void> GiveUp(Step last);
   asio::awaitable<void> Refuse(Refusal refusal);
+  void ReadPrompt(const Placement& place);
   void Finish(std::string_view outcome, unsigned status);
   TimePoint Now() const { return parts_.clock.Now(); }
 
@@ -94,6 +95,7 @@
   int arrivals_ = 0;  // Servers that the request reached.
   int fresh_connections_ = 0;
   std::string resume_after_;
+  bool prompt_unread_ = false;  // By the server of the present attempt.
   bool began_answer_ = false;  // The caller has the head of an answer.
   double predicted_ms_ = 0;
   TimePoint first_byte_{};
--- a/gateway/src/fleet_state.cc
+++ b/gateway/src/fleet_state.cc
@@ -117,6 +117,16 @@
   }
 }
 
+void FleetState::OnPeers(std::vector<runtime::Endpoint> peers) {
+  if (view_.peers && *view_.peers == peers) {
+    return;
+  }
+  view_.gateways = peers.size() + 1;
+  view_.peers = std::make_shared<const std::vector<runtime::Endpoint>>(
+      std::move(peers));
+  changed_ = true;
+}
+
 void FleetState::OnRollout(const RolloutMap& told, TimePoint now) {
   for (const auto& [id, state] : told) {
     if (!servers_.contains(id)) {
--- a/gateway/src/peer_links.cc
+++ b/gateway/src/peer_links.cc
@@ -155,7 +155,7 @@
 
   void OnRows(const StoredRows& rows) {
     const TimePoint now = clock.Now();
-    std::size_t live = 1;
+    std::vector<runtime::Endpoint> live;
     for (const StoredRow& it : rows.rows) {
       const auto address = runtime::ParseEndpoint(it.key);
       if (!address || it.key == OwnAddress()) {
@@ -166,13 +166,15 @@
         peer.row_version = it.version;
         peer.changed_at = now;
       }
-      live += now - peer.changed_at < kAbsence ? 1 : 0;
+      if (now - peer.changed_at < kAbsence) {
+        live.push_back(*address);
+      }
     }
     std::erase_if(peers, [&](const auto& it) {
       return it.second.changed_at != TimePoint{} &&
              now - it.second.changed_at >= kAbsence;
     });
-    handlers.on_gateways(live);
+    handlers.on_peers(std::move(live));
   }
 
   void Notify(const RolloutMap& progress) {
--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -99,8 +99,8 @@
         follower_.PublishChanges();
       }
     };
-    handlers.on_gateways = [this](std::size_t n) {
-      follower_.state().OnGateways(n);
+    handlers.on_peers = [this](std::vector<runtime::Endpoint> peers) {
+      follower_.state().OnPeers(std::move(peers));
       follower_.PublishChanges();
     };
     handlers.wants_rules = [this] { return !follower_.in_touch(); };
--- a/gateway/src/server_book.cc
+++ b/gateway/src/server_book.cc
@@ -53,6 +53,8 @@
 constexpr double kAwayCostMs = 40;
 // A load figure older than this says nothing of the present.
 constexpr milliseconds kLoadAge{1500};
+// What another gateway told is repeated within this time while it holds.
+constexpr milliseconds kPeerUseAge{800};
 // Failures in a row before a server is left alone.
 constexpr int kFailuresToDistrust = 3;
 constexpr milliseconds kFirstDistrust{500};
@@ -67,6 +69,13 @@
                               XXH3_64bits(b.data(), b.size()));
 }
 
+// What another gateway told of a server.
+struct PeerUse {
+  int in_flight = 0;
+  std::int64_t unread_tokens = 0;
+  TimePoint at{};
+};
+
 struct Server {
   BackendServer about;
   int in_flight = 0;
@@ -74,6 +83,7 @@
   ServerLoad load;
   TimePoint load_at{};
   int in_flight_at_load = 0;
+  std::map<std::string, PeerUse, std::less<>> peers;
   int failures = 0;  // In a row.
   TimePoint distrusted_until{};
   bool replaced = false;  // Another incarnation answers at the address.
@@ -120,13 +130,27 @@
     return found->second;
   }
 
-  // Requests there now: what it said last and what we have sent since.
+  // Requests there now: what the gateways have there, or what it said last and
+  // we have sent since, if that is more.
   double Present(TimePoint now) const {
+    int told = in_flight;
+    for (const auto& [peer, use] : peers) {
+      told += now - use.at <= kPeerUseAge ? use.in_flight : 0;
+    }
     if (load_at == TimePoint{} || now - load_at > kLoadAge) {
-      return in_flight;
+      return told;
     }
     const int since = in_flight - in_flight_at_load;
-    return std::max<double>(in_flight, load.running + load.waiting + since);
+    return std::max<double>(told, load.running + load.waiting + since);
+  }
+
+  // Prompt tokens that all gateways sent and the server has not read yet.
+  std::int64_t Unread(TimePoint now) const {
+    std::int64_t tokens = unread_tokens;
+    for (const auto& [peer, use] : peers) {
+      tokens += now - use.at <= kPeerUseAge ? use.unread_tokens : 0;
+    }
+    return tokens;
   }
 
   double Slowness(TimePoint now) const {
@@ -293,7 +317,7 @@
     }
     const double waiting = now - it.load_at <= kLoadAge ? it.load.waiting : 0;
     cost += it.Slowness(now) *
-            (static_cast<double>(score.missing + it.unread_tokens) /
+            (static_cast<double>(score.missing + it.Unread(now)) /
                  kPrefillTokensPerMs +
              waiting * kWaitingCostMs + it.Present(now) * kRunningCostMs);
     score.cost_ms = cost;
@@ -518,6 +542,31 @@
   }
 }
 
+std::vector<ServerUse> ServerBook::OwnUse() const {
+  std::vector<ServerUse> uses;
+  for (const auto& [id, it] : contents_->servers) {
+    if (it.in_flight > 0) {
+      uses.push_back({id, it.in_flight, it.unread_tokens});
+    }
+  }
+  return uses;
+}
+
+void ServerBook::OnPeerUse(std::string_view peer,
+                           std::span<const ServerUse> uses,
+                           TimePoint now) {
+  for (auto& [id, it] : contents_->servers) {
+    it.peers.erase(std::string(peer));
+  }
+  for (const ServerUse& use : uses) {
+    auto found = contents_->servers.find(use.server_id);
+    if (found != contents_->servers.end()) {
+      found->second.peers[std::string(peer)] = {use.in_flight,
+                                                use.unread_tokens, now};
+    }
+  }
+}
+
 void ServerBook::OnOtherVersion(std::string_view server_id,
                                 std::string_view model,
                                 std::optional<std::int64_t> version) {
--- a/gateway/src/traffic.cc
+++ b/gateway/src/traffic.cc
@@ -11,6 +11,7 @@
 
 #include "caller_connection.h"
 #include "traffic_parts.h"
+#include "use_exchange.h"
 
 namespace peridotgate::gateway {
 namespace {
@@ -53,10 +54,14 @@
               metrics,
               ConnectionPool(duty.context(), clock, servers),
               coordination::RetryBudget(RetryLimits(settings, 1))},
-        acceptor(duty.context()) {}
+        acceptor(duty.context()),
+        uses(duty.context(), clock, parts.book, settings.peers) {
+    parts.on_use_changed = [this] { uses.OnChange(); };
+  }
 
   TrafficParts parts;
   tcp::acceptor acceptor;
+  UseExchange uses;
 
   asio::awaitable<void> Accept() {
     while (acceptor.is_open()) {
@@ -120,6 +125,9 @@
     error = runtime::ToString(at) + ": " + ec.message();
     return false;
   }
+  if (!it.uses.Listen(error)) {
+    return false;
+  }
   asio::co_spawn(it.parts.context, it.Accept(), asio::detached);
   asio::co_spawn(it.parts.context, it.Prune(), asio::detached);
   return true;
@@ -131,6 +139,9 @@
     parts.retries =
         coordination::RetryBudget(RetryLimits(parts.settings, view.gateways));
   }
+  if (view.peers) {
+    contents_->uses.SetPeers(*view.peers);
+  }
   parts.view = std::move(view);
   parts.book.OnView(parts.view, parts.clock.Now());
 }
--- a/gateway/src/traffic_parts.h
+++ b/gateway/src/traffic_parts.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <functional>
 #include <set>
 
 #include <boost/asio/io_context.hpp>
@@ -34,6 +35,7 @@
   FleetView view = {};
   std::set<CallerStream*> idle = {};  // Connections between two requests.
   std::size_t body_bytes = 0;  // Held for requests that are being served.
+  std::function<void()> on_use_changed = {};  // The book's own use changed.
   bool keeping = true;
   bool accepting = true;
   std::atomic<std::size_t> open_requests{0};
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -6631,6 +6631,316 @@
 }
 
 
+ServerUse::~ServerUse() noexcept {
+}
+
+
+void ServerUse::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void ServerUse::__set_in_flight(const int32_t val) {
+  this->in_flight = val;
+}
+
+void ServerUse::__set_unread_tokens(const int64_t val) {
+  this->unread_tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->in_flight);
+          this->__isset.in_flight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unread_tokens);
+          this->__isset.unread_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerUse");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->in_flight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unread_tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->unread_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerUse &a, ServerUse &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.in_flight, b.in_flight);
+  swap(a.unread_tokens, b.unread_tokens);
+  swap(a.__isset, b.__isset);
+}
+
+ServerUse::ServerUse(const ServerUse& other195) {
+  id = other195.id;
+  in_flight = other195.in_flight;
+  unread_tokens = other195.unread_tokens;
+  __isset = other195.__isset;
+}
+ServerUse::ServerUse(ServerUse&& other196) noexcept {
+  id = std::move(other196.id);
+  in_flight = other196.in_flight;
+  unread_tokens = other196.unread_tokens;
+  __isset = other196.__isset;
+}
+ServerUse& ServerUse::operator=(const ServerUse& other197) {
+  id = other197.id;
+  in_flight = other197.in_flight;
+  unread_tokens = other197.unread_tokens;
+  __isset = other197.__isset;
+  return *this;
+}
+ServerUse& ServerUse::operator=(ServerUse&& other198) noexcept {
+  id = std::move(other198.id);
+  in_flight = other198.in_flight;
+  unread_tokens = other198.unread_tokens;
+  __isset = other198.__isset;
+  return *this;
+}
+void ServerUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerUse(";
+  out << "id=" << to_string(id);
+  out << ", " << "in_flight=" << to_string(in_flight);
+  out << ", " << "unread_tokens=" << to_string(unread_tokens);
+  out << ")";
+}
+
+
+UseNotice::~UseNotice() noexcept {
+}
+
+
+void UseNotice::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void UseNotice::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void UseNotice::__set_uses(const std::vector<ServerUse> & val) {
+  this->uses = val;
+}
+std::ostream& operator<<(std::ostream& out, const UseNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t UseNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->uses.clear();
+            uint32_t _size199;
+            ::apache::thrift::protocol::TType _etype202;
+            xfer += iprot->readListBegin(_etype202, _size199);
+            this->uses.resize(_size199);
+            uint32_t _i203;
+            for (_i203 = 0; _i203 < _size199; ++_i203)
+            {
+              xfer += this->uses[_i203].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t UseNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UseNotice");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<ServerUse> ::const_iterator _iter204;
+    for (_iter204 = this->uses.begin(); _iter204 != this->uses.end(); ++_iter204)
+    {
+      xfer += (*_iter204).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UseNotice &a, UseNotice &b) {
+  using ::std::swap;
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.uses, b.uses);
+  swap(a.__isset, b.__isset);
+}
+
+UseNotice::UseNotice(const UseNotice& other205) {
+  incarnation = other205.incarnation;
+  sequence = other205.sequence;
+  uses = other205.uses;
+  __isset = other205.__isset;
+}
+UseNotice::UseNotice(UseNotice&& other206) noexcept {
+  incarnation = other206.incarnation;
+  sequence = other206.sequence;
+  uses = std::move(other206.uses);
+  __isset = other206.__isset;
+}
+UseNotice& UseNotice::operator=(const UseNotice& other207) {
+  incarnation = other207.incarnation;
+  sequence = other207.sequence;
+  uses = other207.uses;
+  __isset = other207.__isset;
+  return *this;
+}
+UseNotice& UseNotice::operator=(UseNotice&& other208) noexcept {
+  incarnation = other208.incarnation;
+  sequence = other208.sequence;
+  uses = std::move(other208.uses);
+  __isset = other208.__isset;
+  return *this;
+}
+void UseNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UseNotice(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "uses=" << to_string(uses);
+  out << ")";
+}
+
+
 RulesCopy::~RulesCopy() noexcept {
 }
 
@@ -6723,26 +7033,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RulesCopy::RulesCopy(const RulesCopy& other195) {
-  version = other195.version;
-  text = other195.text;
-  __isset = other195.__isset;
+RulesCopy::RulesCopy(const RulesCopy& other209) {
+  version = other209.version;
+  text = other209.text;
+  __isset = other209.__isset;
 }
-RulesCopy::RulesCopy(RulesCopy&& other196) noexcept {
-  version = other196.version;
-  text = std::move(other196.text);
-  __isset = other196.__isset;
+RulesCopy::RulesCopy(RulesCopy&& other210) noexcept {
+  version = other210.version;
+  text = std::move(other210.text);
+  __isset = other210.__isset;
 }
-RulesCopy& RulesCopy::operator=(const RulesCopy& other197) {
-  version = other197.version;
-  text = other197.text;
-  __isset = other197.__isset;
+RulesCopy& RulesCopy::operator=(const RulesCopy& other211) {
+  version = other211.version;
+  text = other211.text;
+  __isset = other211.__isset;
   return *this;
 }
-RulesCopy& RulesCopy::operator=(RulesCopy&& other198) noexcept {
-  version = other198.version;
-  text = std::move(other198.text);
-  __isset = other198.__isset;
+RulesCopy& RulesCopy::operator=(RulesCopy&& other212) noexcept {
+  version = other212.version;
+  text = std::move(other212.text);
+  __isset = other212.__isset;
   return *this;
 }
 void RulesCopy::printTo(std::ostream& out) const {
@@ -6843,9 +7153,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast199;
-          xfer += iprot->readI32(ecast199);
-          this->state = static_cast<ClaimState::type>(ecast199);
+          int32_t ecast213;
+          xfer += iprot->readI32(ecast213);
+          this->state = static_cast<ClaimState::type>(ecast213);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6950,50 +7260,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRecord::ClaimRecord(const ClaimRecord& other200) {
-  attempt_token = other200.attempt_token;
-  agent = other200.agent;
-  body_digest = other200.body_digest;
-  state = other200.state;
-  status = other200.status;
-  content_type = other200.content_type;
-  body = other200.body;
-  at_ms = other200.at_ms;
-  __isset = other200.__isset;
-}
-ClaimRecord::ClaimRecord(ClaimRecord&& other201) noexcept {
-  attempt_token = std::move(other201.attempt_token);
-  agent = std::move(other201.agent);
-  body_digest = std::move(other201.body_digest);
-  state = other201.state;
-  status = other201.status;
-  content_type = std::move(other201.content_type);
-  body = std::move(other201.body);
-  at_ms = other201.at_ms;
-  __isset = other201.__isset;
-}
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other202) {
-  attempt_token = other202.attempt_token;
-  agent = other202.agent;
-  body_digest = other202.body_digest;
-  state = other202.state;
-  status = other202.status;
-  content_type = other202.content_type;
-  body = other202.body;
-  at_ms = other202.at_ms;
-  __isset = other202.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other214) {
+  attempt_token = other214.attempt_token;
+  agent = other214.agent;
+  body_digest = other214.body_digest;
+  state = other214.state;
+  status = other214.status;
+  content_type = other214.content_type;
+  body = other214.body;
+  at_ms = other214.at_ms;
+  __isset = other214.__isset;
+}
+ClaimRecord::ClaimRecord(ClaimRecord&& other215) noexcept {
+  attempt_token = std::move(other215.attempt_token);
+  agent = std::move(other215.agent);
+  body_digest = std::move(other215.body_digest);
+  state = other215.state;
+  status = other215.status;
+  content_type = std::move(other215.content_type);
+  body = std::move(other215.body);
+  at_ms = other215.at_ms;
+  __isset = other215.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other216) {
+  attempt_token = other216.attempt_token;
+  agent = other216.agent;
+  body_digest = other216.body_digest;
+  state = other216.state;
+  status = other216.status;
+  content_type = other216.content_type;
+  body = other216.body;
+  at_ms = other216.at_ms;
+  __isset = other216.__isset;
   return *this;
 }
-ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other203) noexcept {
-  attempt_token = std::move(other203.attempt_token);
-  agent = std::move(other203.agent);
-  body_digest = std::move(other203.body_digest);
-  state = other203.state;
-  status = other203.status;
-  content_type = std::move(other203.content_type);
-  body = std::move(other203.body);
-  at_ms = other203.at_ms;
-  __isset = other203.__isset;
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other217) noexcept {
+  attempt_token = std::move(other217.attempt_token);
+  agent = std::move(other217.agent);
+  body_digest = std::move(other217.body_digest);
+  state = other217.state;
+  status = other217.status;
+  content_type = std::move(other217.content_type);
+  body = std::move(other217.body);
+  at_ms = other217.at_ms;
+  __isset = other217.__isset;
   return *this;
 }
 void ClaimRecord::printTo(std::ostream& out) const {
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -194,6 +194,10 @@
 
 class RolloutNotice;
 
+class ServerUse;
+
+class UseNotice;
+
 class RulesCopy;
 
 class ClaimRecord;
@@ -2548,6 +2552,123 @@
 
 std::ostream& operator<<(std::ostream& out, const RolloutNotice& obj);
 
+typedef struct _ServerUse__isset {
+  _ServerUse__isset() : id(false), in_flight(false), unread_tokens(false) {}
+  bool id :1;
+  bool in_flight :1;
+  bool unread_tokens :1;
+} _ServerUse__isset;
+
+class ServerUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerUse(const ServerUse&);
+  ServerUse(ServerUse&&) noexcept;
+  ServerUse& operator=(const ServerUse&);
+  ServerUse& operator=(ServerUse&&) noexcept;
+  ServerUse() noexcept
+            : id(),
+              in_flight(0),
+              unread_tokens(0) {
+  }
+
+  virtual ~ServerUse() noexcept;
+  std::string id;
+  int32_t in_flight;
+  int64_t unread_tokens;
+
+  _ServerUse__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_in_flight(const int32_t val);
+
+  void __set_unread_tokens(const int64_t val);
+
+  bool operator == (const ServerUse & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(in_flight == rhs.in_flight))
+      return false;
+    if (!(unread_tokens == rhs.unread_tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerUse &a, ServerUse &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerUse& obj);
+
+typedef struct _UseNotice__isset {
+  _UseNotice__isset() : incarnation(false), sequence(false), uses(false) {}
+  bool incarnation :1;
+  bool sequence :1;
+  bool uses :1;
+} _UseNotice__isset;
+
+class UseNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  UseNotice(const UseNotice&);
+  UseNotice(UseNotice&&) noexcept;
+  UseNotice& operator=(const UseNotice&);
+  UseNotice& operator=(UseNotice&&) noexcept;
+  UseNotice() noexcept
+            : incarnation(0),
+              sequence(0) {
+  }
+
+  virtual ~UseNotice() noexcept;
+  int64_t incarnation;
+  int64_t sequence;
+  std::vector<ServerUse>  uses;
+
+  _UseNotice__isset __isset;
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_uses(const std::vector<ServerUse> & val);
+
+  bool operator == (const UseNotice & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(uses == rhs.uses))
+      return false;
+    return true;
+  }
+  bool operator != (const UseNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UseNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UseNotice &a, UseNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const UseNotice& obj);
+
 typedef struct _RulesCopy__isset {
   _RulesCopy__isset() : version(false), text(false) {}
   bool version :1;
--- a/wire/src/codec.cc
+++ b/wire/src/codec.cc
@@ -187,6 +187,8 @@
 template std::string EncodeStruct(const ClaimRecord&);
 template std::string EncodeStruct(const RolloutNotice&);
 template std::string EncodeStruct(const RulesCopy&);
+template std::string EncodeStruct(const UseNotice&);
+template Result<UseNotice, WireError> DecodeStruct(std::string_view);
 template Result<RolloutNotice, WireError> DecodeStruct(std::string_view);
 template Result<RulesCopy, WireError> DecodeStruct(std::string_view);
 template Result<OrganisationRules, WireError> DecodeStruct(std::string_view);
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -179,6 +179,9 @@
   1: string id, 2: string model, 3: i64 version, 4: bool switching
 }
 struct RolloutNotice { 1: string instance, 2: list<RolloutServer> servers }
+// What a gateway has at the backend servers now; the newest sequence counts.
+struct ServerUse { 1: string id, 2: i32 in_flight, 3: i64 unread_tokens }
+struct UseNotice { 1: i64 incarnation, 2: i64 sequence, 3: list<ServerUse> uses }
 struct RulesCopy { 1: i64 version, 2: binary text }
 
 // A claim on an idempotency key, as kept in the platform's table. It is never
