--- a/gateway/include/gateway/protocol.h
+++ b/gateway/include/gateway/protocol.h
@@ -44,15 +44,15 @@
   std::int64_t prompt_tokens = 0;
   std::int64_t output_tokens = 0;  // The most that may be generated.
   std::optional<Millis> patience;  // How long the caller waits.
-  std::string resume_after;  // The id of the last event received, if any.
+  std::string resume_after;        // The id of the last event received, if any.
 };
 
 /** What the gateway adds to a request for one backend server. */
 struct DispatchHead {
-  std::string server_id;      // Any other incarnation refuses the request.
-  std::string organisation;   // Empty on open routes.
-  std::string cache_scope;    // Cached parts are found only under the same.
-  std::string resume_after;   // The last event that the caller has.
+  std::string server_id;     // Any other incarnation refuses the request.
+  std::string organisation;  // Empty on open routes.
+  std::string cache_scope;   // Cached parts are found only under the same.
+  std::string resume_after;  // The last event that the caller has.
   Millis time_left{0};
   std::optional<int> priority;
   std::optional<std::int64_t> weights_version;  // Others refuse.
@@ -71,7 +71,7 @@
 /** What a backend server's response head says, decoded once. */
 struct ServerHead {
   std::string request_id;
-  bool sealed = false;      // Signed as the server's own answer.
+  bool sealed = false;        // Signed as the server's own answer.
   bool not_executed = false;  // The request has not run and never will.
   std::optional<ServerLoad> load;
   std::optional<std::int64_t> weights_version;
@@ -81,8 +81,8 @@
 struct WeightsOrder {
   std::string model;
   std::int64_t version = 0;
-  std::string holder;      // Who gives orders now.
-  std::int64_t token = 0;  // Fencing token; only grows.
+  std::string holder;                // Who gives orders now.
+  std::int64_t token = 0;            // Fencing token; only grows.
   std::int64_t expected_orders = 0;  // Carried out only if so many were taken.
 };
 
--- a/gateway/include/gateway/server_book.h
+++ b/gateway/include/gateway/server_book.h
@@ -34,7 +34,7 @@
   std::string server_id;
   runtime::Endpoint address;
   std::optional<std::int64_t> weights_version;
-  double cost_ms = 0;  // Predicted time to the first byte.
+  double cost_ms = 0;               // Predicted time to the first byte.
   std::int64_t tokens_missing = 0;  // Of the prompt, to be computed there.
   std::optional<runtime::Endpoint> fetch_from;  // Holds more of the prompt.
   std::optional<runtime::Endpoint> save_to;     // Should keep the prompt too.
@@ -44,10 +44,10 @@
 /** How an attempt at one server ended, as far as it speaks for the server. */
 enum class AttemptOutcome {
   kServed,
-  kRefused,     // Truthfully not run: full, or not the server expected.
-  kFailed,      // An error of the server, or its connection broke.
+  kRefused,  // Truthfully not run: full, or not the server expected.
+  kFailed,   // An error of the server, or its connection broke.
   kUnreachable,
-  kNeutral,     // Ended by the caller or by a deadline that was short.
+  kNeutral,  // Ended by the caller or by a deadline that was short.
 };
 
 /** What a gateway has at one server now. */
@@ -95,7 +95,8 @@
   Millis ReturnAfter(std::string_view service) const;
 
   void OnDispatch(const Placement& placement, const Need& need, TimePoint now);
-  void OnHead(const Placement& placement, const ServerHead& head,
+  void OnHead(const Placement& placement,
+              const ServerHead& head,
               TimePoint now);
   /** The first byte of a body came: the prompt was read. */
   void OnFirstByte(const Placement& placement);
@@ -109,7 +110,8 @@
                  TimePoint now);
 
   /** The server refused since its weights have another version. */
-  void OnOtherVersion(std::string_view server_id, std::string_view model,
+  void OnOtherVersion(std::string_view server_id,
+                      std::string_view model,
                       std::optional<std::int64_t> version);
 
   /** Another process has the server's address: it is not used again. */
--- a/gateway/include/gateway/weights_rollout.h
+++ b/gateway/include/gateway/weights_rollout.h
@@ -33,7 +33,8 @@
  *
  *     while (auto task = rollout.Next(now)) {
  *       auto report = Ask(*task);
- *       if (auto order = rollout.OnReport(*task, report, now)) { Send(*order); }
+ *       if (auto order = rollout.OnReport(*task, report, now)) { Send(*order);
+ * }
  *     }
  */
 class WeightsRollout {
--- a/gateway/src/boot_clock.h
+++ b/gateway/src/boot_clock.h
@@ -15,8 +15,8 @@
   coordination::TimePoint Now() const override {
     timespec now{};
     ::clock_gettime(CLOCK_BOOTTIME, &now);
-    const auto time =
-        std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+    const auto time = std::chrono::seconds(now.tv_sec) +
+                      std::chrono::nanoseconds(now.tv_nsec);
     return coordination::TimePoint(
         std::chrono::duration_cast<coordination::Duration>(time));
   }
--- a/gateway/src/caller_connection.cc
+++ b/gateway/src/caller_connection.cc
@@ -44,12 +44,12 @@
   if (ec == beast::error::timeout) {
     return begun ? 408 : 0;
   }
-  if (ec == http::error::end_of_stream ||
-      ec == http::error::partial_message) {
+  if (ec == http::error::end_of_stream || ec == http::error::partial_message) {
     return 0;
   }
   const bool malformed =
-      ec.category() == http::make_error_code(http::error::bad_version).category();
+      ec.category() ==
+      http::make_error_code(http::error::bad_version).category();
   return malformed ? 400 : 0;
 }
 
@@ -156,7 +156,8 @@
     parts.body_bytes += bytes;
     {
       Exchange exchange(parts, *caller, std::move(request->head),
-                        std::move(request->body), request->began, request->keep);
+                        std::move(request->body), request->began,
+                        request->keep);
       keep = co_await exchange.Run();
     }
     parts.body_bytes -= bytes;
--- a/gateway/src/caller_stream.cc
+++ b/gateway/src/caller_stream.cc
@@ -94,8 +94,7 @@
     co_return false;
   }
   beast::error_code ec;
-  const std::size_t taken =
-      stream_.socket().write_some(asio::buffer(text), ec);
+  const std::size_t taken = stream_.socket().write_some(asio::buffer(text), ec);
   if (!ec && taken == text.size()) {
     co_return true;
   }
@@ -143,9 +142,8 @@
           return;
         }
         char byte = 0;
-        const auto n =
-            ::recv(self->stream_.socket().native_handle(), &byte, 1,
-                   MSG_PEEK | MSG_DONTWAIT);
+        const auto n = ::recv(self->stream_.socket().native_handle(), &byte, 1,
+                              MSG_PEEK | MSG_DONTWAIT);
         if (n > 0) {
           return;  // The next request is here: the caller is, too.
         }
--- a/gateway/src/connection_pool.h
+++ b/gateway/src/connection_pool.h
@@ -47,8 +47,7 @@
   asio::io_context& context_;
   const coordination::Clock& clock_;
   const ServerProtocol& protocol_;
-  std::unordered_map<std::string,
-                     std::deque<std::shared_ptr<ServerConnection>>>
+  std::unordered_map<std::string, std::deque<std::shared_ptr<ServerConnection>>>
       idle_;
 };
 
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -369,8 +369,7 @@
   }
   keep_ = keep_ && parts_.keeping;
   first_byte_ = first_byte_ == TimePoint{} ? Now() : first_byte_;
-  const bool sent =
-      co_await caller_.Send(head, body, keep_, !head_request_);
+  const bool sent = co_await caller_.Send(head, body, keep_, !head_request_);
   Finish(sent ? "served" : "caller_gone", status);
   co_return Step::kDone;
 }
@@ -399,10 +398,9 @@
 
 // Passes whole events on as they come. What comes after the last whole event
 // leaves only when the stream ends properly.
-asio::awaitable<Exchange::Step> Exchange::RelayEvents(
-    const Placement& place,
-    const ResponseHead& head,
-    AttemptOutcome& outcome) {
+asio::awaitable<Exchange::Step> Exchange::RelayEvents(const Placement& place,
+                                                      const ResponseHead& head,
+                                                      AttemptOutcome& outcome) {
   EventSplitter events;
   while (true) {
     auto piece = co_await connection_->ReadPiece(deadline_);
@@ -518,8 +516,7 @@
   LogEvent("request_ended", served ? LogClass::kRoutine : LogClass::kNotable)
       .Add("request", request_.request_id)
       .Add("route", route)
-      .Add("organisation",
-           organisation_ == nullptr ? "" : organisation_->name)
+      .Add("organisation", organisation_ == nullptr ? "" : organisation_->name)
       .Add("rules", rules_ ? rules_->version() : 0)
       .Add("outcome", outcome)
       .Add("status", status)
--- a/gateway/src/exchange.h
+++ b/gateway/src/exchange.h
@@ -96,7 +96,7 @@
   int fresh_connections_ = 0;
   std::string resume_after_;
   bool prompt_unread_ = false;  // By the server of the present attempt.
-  bool began_answer_ = false;  // The caller has the head of an answer.
+  bool began_answer_ = false;   // The caller has the head of an answer.
   double predicted_ms_ = 0;
   TimePoint first_byte_{};
 };
--- a/gateway/src/fleet_state.cc
+++ b/gateway/src/fleet_state.cc
@@ -122,8 +122,8 @@
     return;
   }
   view_.gateways = peers.size() + 1;
-  view_.peers = std::make_shared<const std::vector<runtime::Endpoint>>(
-      std::move(peers));
+  view_.peers =
+      std::make_shared<const std::vector<runtime::Endpoint>>(std::move(peers));
   changed_ = true;
 }
 
--- a/gateway/src/order_giver.cc
+++ b/gateway/src/order_giver.cc
@@ -75,9 +75,8 @@
   const auto* holder = value.as_object().if_contains("holder");
   LeaseRecord record;
   if (holder != nullptr && holder->is_string()) {
-    record.holder =
-        coordination::ParseId(std::string_view(holder->as_string()))
-            .value_or(record.holder);
+    record.holder = coordination::ParseId(std::string_view(holder->as_string()))
+                        .value_or(record.holder);
   }
   record.token = integer("token");
   record.revision = integer("revision");
--- a/gateway/src/part_memory.h
+++ b/gateway/src/part_memory.h
@@ -27,7 +27,8 @@
       : most_tokens_(most_tokens) {}
 
   /** The part was used at the place now. */
-  void Touch(const std::string& id, std::int64_t tokens,
+  void Touch(const std::string& id,
+             std::int64_t tokens,
              coordination::TimePoint now) {
     auto found = by_id_.find(id);
     if (found != by_id_.end()) {
--- a/gateway/src/peer_links.cc
+++ b/gateway/src/peer_links.cc
@@ -129,8 +129,7 @@
     std::int64_t renewals = 0;
     Millis pause = kFirstLook;
     while (true) {
-      const std::string value =
-          incarnation + " " + std::to_string(++renewals);
+      const std::string value = incarnation + " " + std::to_string(++renewals);
       std::string table(kGatewayTable);
       std::string key = OwnAddress();
       auto written = co_await store.Write(std::move(table), std::move(key),
@@ -213,8 +212,9 @@
         continue;
       }
       for (std::size_t i = 0; i < std::min(kAskedAtOnce, peers.size()); ++i) {
-        auto it = std::next(peers.begin(), static_cast<std::ptrdiff_t>(
-                                               next_asked++ % peers.size()));
+        auto it =
+            std::next(peers.begin(),
+                      static_cast<std::ptrdiff_t>(next_asked++ % peers.size()));
         asio::co_spawn(duty.context(), AskPeer(it->first, it->second.client),
                        asio::detached);
       }
@@ -247,11 +247,8 @@
                      const GatewaySettings& settings,
                      Store& store,
                      runtime::Metrics& metrics)
-    : contents_(std::make_shared<Contents>(duty,
-                                           clock,
-                                           settings,
-                                           store,
-                                           metrics)) {}
+    : contents_(
+          std::make_shared<Contents>(duty, clock, settings, store, metrics)) {}
 
 PeerLinks::~PeerLinks() = default;
 
--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -33,7 +33,7 @@
 // twice in vain, at one question a second.
 constexpr Millis kBalancerGrace{2500};
 // The process ends this much before it would be killed.
-constexpr Millis kStopMargin{1000};
+constexpr Millis kStopMargin{500};
 
 class Process {
  public:
@@ -123,10 +123,10 @@
 
  private:
   runtime::HttpHandler Page() {
-    return [this](runtime::HttpRequest request,
-                  runtime::HttpExchange& exchange) {
-      return pages_.Serve(std::move(request), exchange);
-    };
+    return
+        [this](runtime::HttpRequest request, runtime::HttpExchange& exchange) {
+          return pages_.Serve(std::move(request), exchange);
+        };
   }
 
   void Publish(const FleetView& view) {
@@ -160,21 +160,17 @@
   asio::awaitable<void> WaitForStop() {
     (void)co_await signals_.async_wait(kNoThrow);
     leaving_ = true;
-    const auto grace =
-        std::max(Millis(0), settings_.stop_within - kStopMargin);
+    const auto grace = std::max(Millis(0), settings_.stop_within - kStopMargin);
     const auto deadline = clock_.Now() + grace;
     LogEvent("leaving", LogClass::kNotable).Add("why", "signal");
     asio::post(traffic_duty_.context(), [this] { traffic_.StopKeeping(); });
     co_await Pause(std::min(kBalancerGrace, grace));
-    while (traffic_.connections() > 0 && clock_.Now() < deadline) {
-      co_await Pause(kDrainPoll);
-    }
+    // A caller that is idle may reuse its connection at any time, and what it
+    // sends late may not be done before the process is killed.
     asio::post(traffic_duty_.context(), [this] { traffic_.StopAccepting(); });
-    while (traffic_.open_requests() > 0 &&
-           clock_.Now() < deadline + kDrainPoll) {
+    do {
       co_await Pause(kDrainPoll);
-    }
-    co_await Pause(kDrainPoll);
+    } while (traffic_.open_requests() > 0 && clock_.Now() < deadline);
     control_duty_.context().stop();
   }
 
--- a/gateway/src/rules.cc
+++ b/gateway/src/rules.cc
@@ -31,10 +31,9 @@
     by_host_[HostKey(it.host)].push_back(&it);
   }
   for (auto& [host, routes] : by_host_) {
-    std::sort(routes.begin(), routes.end(),
-              [](const Route* a, const Route* b) {
-                return a->prefix.size() > b->prefix.size();
-              });
+    std::sort(routes.begin(), routes.end(), [](const Route* a, const Route* b) {
+      return a->prefix.size() > b->prefix.size();
+    });
   }
   for (const Organisation& it : text_.organisations) {
     for (const std::string& key : it.keys) {
--- a/gateway/src/server_book.cc
+++ b/gateway/src/server_book.cc
@@ -206,7 +206,9 @@
     return found->second;
   }
 
-  static bool Usable(const Server& it) { return !it.about.leaving && !it.replaced; }
+  static bool Usable(const Server& it) {
+    return !it.about.leaving && !it.replaced;
+  }
 
   static bool Trusted(const Server& it, TimePoint now) {
     return Usable(it) && now >= it.distrusted_until;
@@ -279,9 +281,8 @@
     const double slots = std::max(1, it.about.slots);
     const double present = it.Present(now);
     const double ahead = std::max(0.0, present + 1 - slots);
-    const double cost =
-        it.Slowness(now) * kPlainWorkMs *
-        (1 + ahead / slots + kBusyPlainShare * present / slots);
+    const double cost = it.Slowness(now) * kPlainWorkMs *
+                        (1 + ahead / slots + kBusyPlainShare * present / slots);
     return Scored{&it, Base(it, need) + cost, 0, false};
   }
 
@@ -420,15 +421,17 @@
   // Servers that failed of late are used only when there is no other.
   for (const bool trusted_only : {true, false}) {
     for (const Server* it : book.Of(need.service)) {
-      if (trusted_only ? !Contents::Trusted(*it, now) : !Contents::Usable(*it)) {
+      if (trusted_only ? !Contents::Trusted(*it, now)
+                       : !Contents::Usable(*it)) {
         continue;
       }
       if (std::find(need.avoided.begin(), need.avoided.end(), it->about.id) !=
           need.avoided.end()) {
         continue;
       }
-      auto score = need.model.empty() ? book.ScorePlain(*it, need, now)
-                                      : book.ScoreEngine(*it, need, prompt, now);
+      auto score = need.model.empty()
+                       ? book.ScorePlain(*it, need, now)
+                       : book.ScoreEngine(*it, need, prompt, now);
       if (score) {
         scored.push_back(*score);
       }
@@ -473,8 +476,7 @@
     return Millis(static_cast<int>(kNoServerMs));
   }
   constexpr double kLeastMs = 100;
-  return Millis(
-      static_cast<int>(kLeastMs + kPlainWorkMs * ahead / slots));
+  return Millis(static_cast<int>(kLeastMs + kPlainWorkMs * ahead / slots));
 }
 
 void ServerBook::OnDispatch(const Placement& placement,
--- a/gateway/src/server_connection.cc
+++ b/gateway/src/server_connection.cc
@@ -108,9 +108,10 @@
     if (ec == beast::error::timeout) {
       return ServerError::kTimeout;
     }
-    if (ec.category() == http::make_error_code(http::error::bad_version)
-                             .category() &&
-        ec != http::error::end_of_stream && ec != http::error::partial_message) {
+    if (ec.category() ==
+            http::make_error_code(http::error::bad_version).category() &&
+        ec != http::error::end_of_stream &&
+        ec != http::error::partial_message) {
       return ServerError::kMalformed;
     }
     return ServerError::kBroken;
@@ -126,8 +127,8 @@
     while (!parser->is_done()) {
       parser->get().body().data = piece.data();
       parser->get().body().size = piece.size();
-      auto [ec, n] = co_await http::async_read_some(stream, buf, *parser,
-                                                    kNoThrow);
+      auto [ec, n] =
+          co_await http::async_read_some(stream, buf, *parser, kNoThrow);
       if (ec && ec != http::error::need_buffer) {
         co_return false;
       }
--- a/gateway/src/server_connection.h
+++ b/gateway/src/server_connection.h
@@ -55,10 +55,8 @@
   void Send(std::string head, std::string_view body);
 
   /** The head of the answer to the request `request_id`. */
-  asio::awaitable<Result<ResponseHead, ServerError>> ReadHead(
-      std::string_view request_id,
-      bool head_request,
-      TimePoint deadline);
+  asio::awaitable<Result<ResponseHead, ServerError>>
+  ReadHead(std::string_view request_id, bool head_request, TimePoint deadline);
 
   /** The next piece of the body, as soon as some bytes are there. */
   asio::awaitable<Result<BodyPiece, ServerError>> ReadPiece(TimePoint deadline);
--- a/gateway/src/use_exchange.cc
+++ b/gateway/src/use_exchange.cc
@@ -38,8 +38,8 @@
         own(std::move(own)),
         socket(context),
         timer(context),
-        incarnation(
-            static_cast<std::int64_t>(coordination::NewId().low >> 1)) {}
+        incarnation(static_cast<std::int64_t>(coordination::NewId().low >> 1)) {
+  }
 
   const coordination::Clock& clock;
   ServerBook& book;
@@ -50,7 +50,7 @@
   std::int64_t sequence = 0;
   std::vector<udp::endpoint> peers;
   std::vector<ServerUse> told;
-  bool pending = false;   // A change waits to be told.
+  bool pending = false;    // A change waits to be told.
   bool repeating = false;  // The timer runs.
   std::vector<char> buf = std::vector<char>(kDatagramBytes);
   udp::endpoint sender;
--- a/operate/src/verb.cc
+++ b/operate/src/verb.cc
@@ -12,9 +12,9 @@
 
 using AddVerb = void (*)(CLI::App&, RunVerb&);
 
-constexpr std::array<AddVerb, 10> kVerbs = {AddServe, AddGateway, AddSurvey, AddCheck,
-                                           AddDiff,    AddApply,  AddStatus,
-                                           AddHistory, AddRevert, AddReport};
+constexpr std::array<AddVerb, 10> kVerbs = {
+    AddServe, AddGateway, AddSurvey,  AddCheck,  AddDiff,
+    AddApply, AddStatus,  AddHistory, AddRevert, AddReport};
 
 void PrintText(const VerbResult& result) {
   for (const std::string& it : result.lines) {
--- a/operate/src/verb_gateway.cc
+++ b/operate/src/verb_gateway.cc
@@ -38,8 +38,7 @@
          runtime::Metrics& metrics) -> std::unique_ptr<gateway::Store> {
         return std::make_unique<platform::RowsStore>(context, store, metrics);
       }};
-  result.exit =
-      static_cast<Exit>(gateway::RunGateway(*settings, protocols));
+  result.exit = static_cast<Exit>(gateway::RunGateway(*settings, protocols));
   return result;
 }
 
--- a/runtime/src/event_log.cc
+++ b/runtime/src/event_log.cc
@@ -85,11 +85,10 @@
   auto* writer = new Writer;
   writer->instance = instance;
   writer->dropped = &metrics.GetCounter("peridotgate_log_dropped_total");
-  writer->pool =
-      std::make_shared<spdlog::details::thread_pool>(kRingLines, 1);
+  writer->pool = std::make_shared<spdlog::details::thread_pool>(kRingLines, 1);
   writer->logger = std::make_shared<spdlog::async_logger>(
-      "events", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
-      writer->pool, spdlog::async_overflow_policy::overrun_oldest);
+      "events", std::make_shared<spdlog::sinks::stdout_sink_mt>(), writer->pool,
+      spdlog::async_overflow_policy::overrun_oldest);
   writer->logger->set_pattern("%v");
   current.store(writer);
 }
@@ -119,8 +118,8 @@
       rate.second = second;
       rate.lines = 0;
     }
-    const int most = log_class == LogClass::kRoutine ? kRoutinePerSecond
-                                                     : kNotablePerSecond;
+    const int most =
+        log_class == LogClass::kRoutine ? kRoutinePerSecond : kNotablePerSecond;
     if (rate.lines >= most) {
       ++rate.dropped;
       writer->dropped->Add();
