--- a/coordination/include/coordination/lease.h
+++ b/coordination/include/coordination/lease.h
@@ -14,7 +14,7 @@
 
 /** The content of the lease's row. */
 struct LeaseRecord {
-  Id128 holder;               // One process from start to end.
+  Id128 holder;               // One process from start to end; zero: released.
   std::int64_t token = 0;     // Grows with each new holder.
   std::int64_t revision = 0;  // Grows with each write.
   std::int64_t attempt = 0;   // Tells the holder's writes apart.
@@ -66,6 +66,13 @@
   void OnReadFailed(TimePoint now);
   void OnWrite(LeaseWrite result, TimePoint now);
 
+  /**
+   * Ends this contender's part. What it held may be followed after `margin`
+   * instead of the whole length: the record to write under the usual condition,
+   * or nothing when it holds nothing. Not while a step is outstanding.
+   */
+  std::optional<LeaseRecord> Release();
+
   /** The fencing token while the lease is surely held, or nothing. */
   std::optional<std::int64_t> token(TimePoint now) const;
 
--- a/coordination/src/lease.cc
+++ b/coordination/src/lease.cc
@@ -25,6 +25,9 @@
   if (outstanding_) {
     return LeaseAction::kNone;
   }
+  if (cursor_.Is("stopped")) {
+    return LeaseAction::kNone;
+  }
   if (cursor_.Is("holding") && now >= held_until_) {
     cursor_.Step("lapse");
   }
@@ -61,8 +64,12 @@
 // A record of this process itself that is not its last write is taken over at
 // once: no other process can have acted under it.
 bool Lease::HasExpired(TimePoint now) const {
-  return !seen_ || seen_->holder == self_ ||
-         now - seen_since_ >= options_.length;
+  if (!seen_ || seen_->holder == self_) {
+    return true;
+  }
+  const bool released = seen_->holder == Id128{};
+  const Duration wait = released ? options_.margin : options_.length;
+  return now - seen_since_ >= wait;
 }
 
 void Lease::Observe(const std::optional<LeaseRecord>& row, TimePoint now) {
@@ -120,6 +127,23 @@
   }
 }
 
+std::optional<LeaseRecord> Lease::Release() {
+  PG_CHECK(!outstanding_);
+  if (cursor_.Is("stopped")) {
+    return std::nullopt;
+  }
+  const bool held = cursor_.Is("holding");
+  cursor_.Step("stop");
+  if (!held) {
+    return std::nullopt;
+  }
+  LeaseRecord released = written_;
+  released.holder = Id128{};
+  ++released.revision;
+  ++released.attempt;
+  return released;
+}
+
 std::optional<std::int64_t> Lease::token(TimePoint now) const {
   const bool held = cursor_.Is("holding") || cursor_.Is("renewing");
   if (!held || (options_.stop_when_lapsed && now >= held_until_)) {
--- a/gateway/include/gateway/order_giver.h
+++ b/gateway/include/gateway/order_giver.h
@@ -33,6 +33,8 @@
 
   void Start();
   void OnView(const FleetView& view);
+  /** Gives no more orders, and lets another process follow soon. */
+  void Leave();
 
  private:
   struct Contents;
--- a/gateway/src/order_giver.cc
+++ b/gateway/src/order_giver.cc
@@ -112,6 +112,7 @@
   std::int64_t row_version = 0;
   WeightsRollout rollout;
   bool holding = false;
+  bool leaving = false;
   std::map<std::string, std::shared_ptr<runtime::HttpClient>> clients;
 
   asio::awaitable<void> Run() {
@@ -119,6 +120,10 @@
     while (true) {
       timer.expires_after(kTick);
       co_await timer.async_wait(kNoThrow);
+      if (leaving) {
+        co_await ReleaseLease();
+        co_return;
+      }
       if (!rollout.pending()) {
         continue;
       }
@@ -193,6 +198,22 @@
     }
   }
 
+  asio::awaitable<void> ReleaseLease() {
+    const auto released = lease.Release();
+    if (!released) {
+      co_return;
+    }
+    std::string table(kLeaseTable);
+    std::string key(kLeaseKey);
+    std::string value = Format(*released);
+    auto written = co_await store.Write(std::move(table), std::move(key),
+                                        std::move(value), row_version);
+    LogEvent("order_lease", LogClass::kNotable)
+        .Add("held", false)
+        .Add("why", "leaving")
+        .Add("released", static_cast<bool>(written));
+  }
+
   void GiveOrders() {
     const TimePoint now = clock.Now();
     while (auto task = rollout.Next(now)) {
@@ -277,6 +298,10 @@
   asio::co_spawn(contents_->duty.context(), contents_->Run(), asio::detached);
 }
 
+void OrderGiver::Leave() {
+  contents_->leaving = true;
+}
+
 void OrderGiver::OnView(const FleetView& view) {
   contents_->rollout.OnView(view);
   if (view.servers) {
--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -163,6 +163,7 @@
     const auto grace = std::max(Millis(0), settings_.stop_within - kStopMargin);
     const auto deadline = clock_.Now() + grace;
     LogEvent("leaving", LogClass::kNotable).Add("why", "signal");
+    orders_.Leave();
     asio::post(traffic_duty_.context(), [this] { traffic_.StopKeeping(); });
     co_await Pause(std::min(kBalancerGrace, grace));
     // A caller that is idle may reuse its connection at any time, and what it
--- a/gateway/src/server_book.cc
+++ b/gateway/src/server_book.cc
@@ -43,7 +43,7 @@
 // Versions of one model whose naming is remembered.
 constexpr std::size_t kNamedVersions = 32;
 // A process that starts can't know when weights were named.
-constexpr milliseconds kNamedBeforeStart{5000};
+constexpr milliseconds kNamedBeforeStart{6500};
 // A server whose switch was not reported as done is tried again after this.
 constexpr milliseconds kSwitchTimeout{4000};
 // The part of a plain request's time that a full server adds.
@@ -344,9 +344,9 @@
     }
     place.saved_key =
         std::to_string(*place.weights_version) + "/" + prompt.anchor;
-    if (score.unsure) {
-      place.fetch_from = cache_store;
-    }
+    // Also of a server that had the parts: engines evict within seconds, and a
+    // look at the store costs a millisecond.
+    place.fetch_from = cache_store;
     if (now - saved.LastUse(place.saved_key) >= kSavedFor) {
       place.save_to = cache_store;
     }
