--- a/gateway/include/gateway/protocol.h
+++ b/gateway/include/gateway/protocol.h
@@ -103,6 +103,21 @@
   kInvalid,      // The server does not know such an order.
 };
 
+/** A part that a place of cached parts took or dropped. */
+struct CacheEvent {
+  bool added = false;
+  std::string scope;
+  std::string part;
+};
+
+/** What changed at a place of cached parts. */
+struct CacheChanges {
+  std::int64_t epoch = 0;  // Another one: it has started again, empty.
+  std::int64_t next = 0;   // Where the next question goes on.
+  bool lost = false;       // Some changes are not told.
+  std::vector<CacheEvent> events;
+};
+
 /** The caller's side of the wire. */
 class CallerProtocol {
  public:
@@ -128,6 +143,13 @@
       const std::string& server_id,
       const WeightsOrder& order) const = 0;
   virtual OrderAnswer ReadOrderAnswer(unsigned status) const = 0;
+  /** The request for what changed after `since`; held for up to `wait`. */
+  virtual http::request<http::string_body> AskCacheChanges(
+      std::int64_t since,
+      Millis wait) const = 0;
+  /** The changes in an answer's body, or nothing when it is unreadable. */
+  virtual std::optional<CacheChanges> ReadCacheChanges(
+      std::string_view body) const = 0;
   /** Removes from an answer what is not meant for callers. */
   virtual void CleanAnswer(ResponseHead& head) const = 0;
 };
--- a/gateway/include/gateway/server_book.h
+++ b/gateway/include/gateway/server_book.h
@@ -58,6 +58,13 @@
   bool operator==(const ServerUse&) const = default;
 };
 
+/** What is known anew of the cache store. */
+struct CacheStoreNews {
+  bool reachable = false;
+  bool emptied = false;  // It lost what it had before these events.
+  std::vector<CacheEvent> events;
+};
+
 /** One server as operators see it. */
 struct ServerStatus {
   std::string id;
@@ -109,6 +116,8 @@
                  std::span<const ServerUse> uses,
                  TimePoint now);
 
+  void OnCacheStore(const CacheStoreNews& news);
+
   /** The server refused since its weights have another version. */
   void OnOtherVersion(std::string_view server_id,
                       std::string_view model,
--- a/gateway/include/gateway/traffic.h
+++ b/gateway/include/gateway/traffic.h
@@ -8,6 +8,7 @@
 #include "coordination/clock.h"
 #include "gateway/fleet_view.h"
 #include "gateway/protocol.h"
+#include "gateway/server_book.h"
 #include "gateway/settings.h"
 #include "runtime/duty.h"
 #include "runtime/metrics.h"
@@ -29,6 +30,7 @@
   bool Listen(std::string& error);
 
   void OnView(FleetView view);
+  void OnCacheStore(const CacheStoreNews& news);
 
   /** From now on each connection ends with its next answer. */
   void StopKeeping();
--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "gateway/cache_store_watch.h"
 #include "gateway/follower.h"
 #include "gateway/order_giver.h"
 #include "gateway/peer_links.h"
@@ -65,6 +66,14 @@
               peers_.Notify(it);
             },
             metrics_),
+        news_(traffic_duty_,
+              kViewCapacity,
+              [this](CacheStoreNews&& it) { traffic_.OnCacheStore(it); }),
+        cache_store_(
+            control_duty_,
+            protocols.servers,
+            [this](CacheStoreNews news) { return news_.TrySend(news); },
+            metrics_),
         follower_(
             control_duty_,
             clock_,
@@ -92,6 +101,7 @@
     pages_.Add(protocols_.readiness_path, ready);
     follower_.Start();
     orders_.Start();
+    cache_store_.Start();
     PeerLinks::Handlers handlers;
     handlers.on_rollout = [this](const RolloutMap& it) { OnRollout(it); };
     handlers.on_rules = [this](std::string_view text) {
@@ -132,6 +142,7 @@
   void Publish(const FleetView& view) {
     FleetView copy = view;
     orders_.OnView(view);
+    cache_store_.OnView(view);
     known_ = view.rules && view.servers && !view.servers->empty();
     if (!views_.TrySend(std::move(copy))) {
       LogEvent("view_dropped", LogClass::kNotable).Add("why", "ring full");
@@ -199,6 +210,8 @@
   runtime::Port<FleetView> views_;
   PeerLinks peers_;
   OrderGiver orders_;
+  runtime::Port<CacheStoreNews> news_;
+  CacheStoreWatch cache_store_;
   Follower follower_;
   runtime::HttpServer readiness_;
   runtime::HttpServer operators_;
--- a/gateway/src/server_book.cc
+++ b/gateway/src/server_book.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
-#include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include <xxhash.h>
@@ -31,8 +31,9 @@
 constexpr double kFetchCostMsPerToken = 0.005;
 // Prompts that share less than this are placed by load alone.
 constexpr std::int64_t kLeastSharedTokens = 1024;
-// A part saved this recently is taken to be in the cache store.
-constexpr seconds kSavedFor{20};
+// A part saved this recently is taken to be in the cache store, which tells
+// late of what it has, and at times never.
+constexpr seconds kSavedFor{6};
 // Parts that are remembered as saved.
 constexpr std::size_t kSavedParts = 8192;
 // Old weights cost nothing for this long after new ones were named, then are
@@ -195,6 +196,8 @@
   // When each of the last versions was named, by model.
   std::map<std::string, std::map<std::int64_t, TimePoint>, std::less<>>
       named_at;
+  bool cache_store_up = false;
+  std::unordered_set<std::string> stored;  // Keys with scope and version.
   PartMemory saved{kSavedParts};
   TimePoint started{};
 
@@ -339,15 +342,17 @@
       return place;
     }
     place.weights_version = it.Version(need.model);
-    if (prompt.anchor.empty() || !cache_store || !place.weights_version) {
+    if (prompt.anchor.empty() || !cache_store || !cache_store_up ||
+        !place.weights_version) {
       return place;
     }
     place.saved_key =
-        std::to_string(*place.weights_version) + "/" + prompt.anchor;
+        "v" + std::to_string(*place.weights_version) + "/" + prompt.anchor;
     // Also of a server that had the parts: engines evict within seconds, and a
     // look at the store costs a millisecond.
     place.fetch_from = cache_store;
-    if (now - saved.LastUse(place.saved_key) >= kSavedFor) {
+    const bool just_saved = now - saved.LastUse(place.saved_key) < kSavedFor;
+    if (!just_saved && !stored.contains(place.saved_key)) {
       place.save_to = cache_store;
     }
     return place;
@@ -544,6 +549,23 @@
   }
 }
 
+void ServerBook::OnCacheStore(const CacheStoreNews& news) {
+  Contents& it = *contents_;
+  it.cache_store_up = news.reachable;
+  if (news.emptied) {
+    it.stored.clear();
+    it.saved.Clear();
+  }
+  for (const CacheEvent& event : news.events) {
+    std::string key = PartKey(event.scope, event.part);
+    if (event.added) {
+      it.stored.insert(std::move(key));
+    } else {
+      it.stored.erase(key);
+    }
+  }
+}
+
 std::vector<ServerUse> ServerBook::OwnUse() const {
   std::vector<ServerUse> uses;
   for (const auto& [id, it] : contents_->servers) {
--- a/gateway/src/traffic.cc
+++ b/gateway/src/traffic.cc
@@ -146,6 +146,10 @@
   parts.book.OnView(parts.view, parts.clock.Now());
 }
 
+void Traffic::OnCacheStore(const CacheStoreNews& news) {
+  contents_->parts.book.OnCacheStore(news);
+}
+
 void Traffic::StopKeeping() {
   contents_->parts.keeping = false;
 }
