--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -25,6 +25,11 @@
 // A route without a timeout is held to this.
 constexpr Millis kDefaultTimeout{60000};
 constexpr Millis kNoRulesRetry{300};
+// A server that is silent for so many objectives, or so many times the
+// predicted time, hangs.
+constexpr int kSilentObjectives = 3;
+// The least objective by which a server is judged when time runs out.
+constexpr Millis kAmple{150};
 
 double ToMs(coordination::Duration time) {
   return std::chrono::duration<double, std::milli>(time).count();
@@ -150,13 +155,32 @@
   }
 }
 
+// Whether the route allows another server to run the request.
+bool Exchange::MayRunAgain() const {
+  return route_->idempotent && runs_ < std::max(1, route_->attempts);
+}
+
+// Until when the server of the present attempt may be silent. Answers the load
+// of servers that hang: a request that may run again is moved while there is
+// time to serve it elsewhere, all others wait to the end.
+TimePoint Exchange::SilenceLimit() const {
+  const bool last_run = runs_ + 1 >= std::max(1, route_->attempts);
+  if (!route_->idempotent || last_run || route_->objective.count() == 0) {
+    return deadline_;
+  }
+  const auto predicted = std::chrono::duration_cast<coordination::Duration>(
+      std::chrono::duration<double, std::milli>(predicted_ms_));
+  const auto patience = std::max<coordination::Duration>(
+      kSilentObjectives * route_->objective, kSilentObjectives * predicted);
+  return std::min(deadline_, Now() + patience);
+}
+
 // Whether the rules, the route and the shared budget allow another attempt.
 bool Exchange::MayTryAgain(Step step) const {
   if (caller_.gone() || deadline_ - Now() < kLeastTime) {
     return false;
   }
-  if (step == Step::kMayHaveRun &&
-      (!route_->idempotent || runs_ >= std::max(1, route_->attempts))) {
+  if (step == Step::kMayHaveRun && !MayRunAgain()) {
     return false;
   }
   if (began_answer_ && !route_->resumable) {
@@ -166,6 +190,19 @@
   return arrivals_ == 0 || parts_.retries.TryRetry(service_);
 }
 
+// What an attempt without a whole answer says of the server. A caller that
+// left says nothing; time that ran out does, when it was ample.
+AttemptOutcome Exchange::OutcomeOf(ServerError error) const {
+  if (error == ServerError::kCancelled) {
+    return AttemptOutcome::kNeutral;
+  }
+  const auto ample = kSilentObjectives * std::max(route_->objective, kAmple);
+  if (error == ServerError::kTimeout && Now() - sent_at_ < ample) {
+    return AttemptOutcome::kNeutral;
+  }
+  return AttemptOutcome::kFailed;
+}
+
 asio::awaitable<std::shared_ptr<ServerConnection>> Exchange::Connect(
     const Placement& place) {
   const auto freshness =
@@ -242,18 +279,19 @@
     outcome = AttemptOutcome::kNeutral;
   } else {
     ++arrivals_;
+    sent_at_ = Now();
     connection_->Send(FormatRequest(place), body_);
+    const TimePoint limit = SilenceLimit();
     auto head = co_await connection_->ReadHead(request_.request_id,
-                                               head_request_, deadline_);
+                                               head_request_, limit);
     if (head) {
       step = co_await Answer(place, std::move(head.value()), outcome);
     } else {
       ++runs_;
       step = Step::kMayHaveRun;
       last_error_ = Name(head.error());
-      const bool ours = head.error() == ServerError::kTimeout ||
-                        head.error() == ServerError::kCancelled;
-      outcome = ours ? AttemptOutcome::kNeutral : AttemptOutcome::kFailed;
+      outcome = OutcomeOf(head.error());
+      connection_->Cancel();
     }
     if (connection_) {
       parts_.pool.Put(place.server_id, std::move(connection_));
@@ -327,16 +365,12 @@
                                                 AttemptOutcome& outcome) {
   std::string body;
   while (true) {
-    auto piece = co_await connection_->ReadPiece(deadline_);
+    const TimePoint limit = SilenceLimit();
+    auto piece = co_await connection_->ReadPiece(limit);
     if (!piece || body.size() + piece.value().bytes.size() > kMaxHeldBytes) {
       last_error_ = piece ? "answer_too_large" : Name(piece.error());
       connection_->Cancel();
-      if (!piece && (piece.error() == ServerError::kTimeout ||
-                     piece.error() == ServerError::kCancelled)) {
-        outcome = AttemptOutcome::kNeutral;
-      } else {
-        outcome = AttemptOutcome::kFailed;
-      }
+      outcome = piece ? AttemptOutcome::kFailed : OutcomeOf(piece.error());
       co_return Step::kMayHaveRun;
     }
     ReadPrompt(place);
@@ -403,12 +437,11 @@
                                                       AttemptOutcome& outcome) {
   EventSplitter events;
   while (true) {
-    auto piece = co_await connection_->ReadPiece(deadline_);
+    const TimePoint limit = SilenceLimit();
+    auto piece = co_await connection_->ReadPiece(limit);
     if (!piece) {
       last_error_ = Name(piece.error());
-      const bool ours = piece.error() == ServerError::kTimeout ||
-                        piece.error() == ServerError::kCancelled;
-      outcome = ours ? AttemptOutcome::kNeutral : AttemptOutcome::kFailed;
+      outcome = OutcomeOf(piece.error());
       connection_->Cancel();
       co_return Step::kMayHaveRun;
     }
--- a/gateway/src/exchange.h
+++ b/gateway/src/exchange.h
@@ -65,7 +65,10 @@
   asio::awaitable<Step> SendWhole(ResponseHead head, std::string body);
   asio::awaitable<bool> PassOn(const ResponseHead& head,
                                std::string_view bytes);
+  bool MayRunAgain() const;
   bool MayTryAgain(Step step) const;
+  TimePoint SilenceLimit() const;
+  AttemptOutcome OutcomeOf(ServerError error) const;
   asio::awaitable<void> GiveUp(Step last);
   asio::awaitable<void> Refuse(Refusal refusal);
   void ReadPrompt(const Placement& place);
@@ -98,6 +101,7 @@
   bool prompt_unread_ = false;  // By the server of the present attempt.
   bool began_answer_ = false;   // The caller has the head of an answer.
   double predicted_ms_ = 0;
+  TimePoint sent_at_{};  // Of the present attempt.
   TimePoint first_byte_{};
 };
 
--- a/gateway/src/order_giver.cc
+++ b/gateway/src/order_giver.cc
@@ -35,7 +35,7 @@
 // Steps of the giver while there is work.
 constexpr Millis kTick{40};
 // A server answers a report or an order at once, or not at all.
-constexpr Millis kServerTimeout{400};
+constexpr Millis kServerTimeout{250};
 // The holder renews this often, and acts for a little longer than that after
 // a renewal, so that one lost answer does not end its turn.
 constexpr Millis kRenewal{600};
--- a/gateway/src/weights_rollout.cc
+++ b/gateway/src/weights_rollout.cc
@@ -138,7 +138,13 @@
   Server& it = found->second;
   it.asked = false;
   it.next_ask = now + kAskPeriod;
-  if (!answer || *answer == OrderAnswer::kAccepted) {
+  if (!answer) {
+    // It may be carried out late, or never. Given again with the same count of
+    // orders, at most one of the two is carried out.
+    it.phase = Phase::kWaiting;
+    return;
+  }
+  if (*answer == OrderAnswer::kAccepted) {
     return;
   }
   if (*answer == OrderAnswer::kAlreadyHeld) {
