gateway: tells others which prompts it sent; a server's own failure is passed on

Ruled out: one slow server, the store's outage. Besides, a failure that a server answered with became a 502 when the retry budget was spent twice for one retry. Change: gateways tell each other which prompts they sent where, so that a fetch is asked for only where the parts are not known to be; no moves while many first bytes are late; the server's answer is kept and passed on.

--- a/gateway/include/gateway/server_book.h
+++ b/gateway/include/gateway/server_book.h
@@ -58,6 +58,13 @@
   bool operator==(const ServerUse&) const = default;
 };
 
+/** A prompt that was sent to a server: its parts by hash, in order. */
+struct SentPrompt {
+  std::string server_id;
+  std::vector<std::uint64_t> parts;
+  std::vector<std::int32_t> tokens;
+};
+
 /** What is known anew of the cache store. */
 struct CacheStoreNews {
   bool reachable = false;
@@ -111,6 +118,10 @@
 
   /** What this gateway has at each server that it uses now. */
   std::vector<ServerUse> OwnUse() const;
+  /** The prompts that this gateway sent since the last call. */
+  std::vector<SentPrompt> TakeSent();
+  /** Prompts that another gateway sent. */
+  void OnPeerSent(std::span<const SentPrompt> prompts, TimePoint now);
   /** What another gateway has at servers, in place of what it told before. */
   void OnPeerUse(std::string_view peer,
                  std::span<const ServerUse> uses,
--- a/gateway/src/cache_store_watch.cc
+++ b/gateway/src/cache_store_watch.cc
@@ -53,9 +53,8 @@
         if (answer && answer.value().result() == http::status::ok) {
           changes = protocol.ReadCacheChanges(answer.value().body());
         }
-        const bool busy =
-            answer &&
-            answer.value().result() == http::status::too_many_requests;
+        const bool busy = answer && answer.value().result() ==
+                                        http::status::too_many_requests;
         if (asked == client && !busy) {
           OnAnswer(std::move(changes));
         }
@@ -112,8 +111,8 @@
   it.address = address;
   it.epoch = 0;
   it.since = 0;
-  it.client = address ? std::make_shared<runtime::HttpClient>(
-                            it.duty.context(), *address)
+  it.client = address ? std::make_shared<runtime::HttpClient>(it.duty.context(),
+                                                              *address)
                       : nullptr;
 }
 
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -28,6 +28,11 @@
 // A server that is silent for so many objectives, or so many times the
 // predicted time, hangs.
 constexpr int kSilentObjectives = 3;
+// While more first bytes than this come late, servers are full rather than
+// hanging, and moving requests would add to it.
+constexpr double kMostLate = 0.15;
+// Weight of a new first byte in the share of late ones.
+constexpr double kLateWeight = 0.05;
 // The least objective by which a server is judged when time runs out.
 constexpr Millis kAmple{150};
 
@@ -165,7 +170,8 @@
 // time to serve it elsewhere, all others wait to the end.
 TimePoint Exchange::SilenceLimit() const {
   const bool last_run = runs_ + 1 >= std::max(1, route_->attempts);
-  if (!route_->idempotent || last_run || route_->objective.count() == 0) {
+  if (!route_->idempotent || last_run || route_->objective.count() == 0 ||
+      parts_.late_share[service_] > kMostLate) {
     return deadline_;
   }
   const auto predicted = std::chrono::duration_cast<coordination::Duration>(
@@ -380,8 +386,10 @@
     }
   }
   const unsigned status = head.result_int();
-  if (status >= 500 && !began_answer_ && MayTryAgain(Step::kMayHaveRun)) {
+  if (status >= 500 && !began_answer_ && MayRunAgain()) {
+    // Given to the caller if nobody else answers.
     last_error_ = "server_error";
+    failure_ = WholeAnswer{std::move(head), std::move(body)};
     co_return Step::kMayHaveRun;
   }
   if (began_answer_) {
@@ -499,6 +507,11 @@
     caller_.Abort();
     co_return;
   }
+  if (failure_) {
+    (void)co_await SendWhole(std::move(failure_->head),
+                             std::move(failure_->body));
+    co_return;
+  }
   const bool ran = runs_ > 0;
   if (ran) {
     const bool late = deadline_ - Now() < kLeastTime;
@@ -537,6 +550,11 @@
   const bool served = outcome == "served" && status < 500;
   const std::string_view route =
       route_ == nullptr ? std::string_view() : std::string_view(route_->name);
+  if (route_ != nullptr && first_byte_ != TimePoint{}) {
+    const bool late = first_byte_ - began_ > route_->objective;
+    double& share = parts_.late_share[service_];
+    share += kLateWeight * ((late ? 1.0 : 0.0) - share);
+  }
   parts_.metrics
       .GetCounter("peridotgate_gateway_requests_total", {{"outcome", outcome}})
       .Add();
--- a/gateway/src/exchange.h
+++ b/gateway/src/exchange.h
@@ -4,6 +4,7 @@
 #define GATEWAY_EXCHANGE_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -98,6 +99,13 @@
   int arrivals_ = 0;  // Servers that the request reached.
   int fresh_connections_ = 0;
   std::string resume_after_;
+  /** A failure that a server answered with, kept while others are tried. */
+  struct WholeAnswer {
+    ResponseHead head;
+    std::string body;
+  };
+
+  std::optional<WholeAnswer> failure_;
   bool prompt_unread_ = false;  // By the server of the present attempt.
   bool began_answer_ = false;   // The caller has the head of an answer.
   double predicted_ms_ = 0;
--- a/gateway/src/part_memory.h
+++ b/gateway/src/part_memory.h
@@ -6,8 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
-#include <string>
-#include <string_view>
 #include <unordered_map>
 
 #include "coordination/clock.h"
@@ -18,8 +16,8 @@
  * Parts by recency.
  *
  *     PartMemory parts(100'000);
- *     parts.Touch("5c1e07a2", 800, now);
- *     parts.Has("5c1e07a2", now);
+ *     parts.Touch(HashOf(part), 800, now);
+ *     parts.Has(HashOf(part));
  */
 class PartMemory {
  public:
@@ -27,7 +25,7 @@
       : most_tokens_(most_tokens) {}
 
   /** The part was used at the place now. */
-  void Touch(const std::string& id,
+  void Touch(std::uint64_t id,
              std::int64_t tokens,
              coordination::TimePoint now) {
     auto found = by_id_.find(id);
@@ -47,12 +45,10 @@
   }
 
   /** Whether the part is taken to be there still. */
-  bool Has(const std::string& id, coordination::TimePoint /*now*/) const {
-    return by_id_.contains(id);
-  }
+  bool Has(std::uint64_t id) const { return by_id_.contains(id); }
 
   /** When the part was used last; the clock's origin if unknown. */
-  coordination::TimePoint LastUse(const std::string& id) const {
+  coordination::TimePoint LastUse(std::uint64_t id) const {
     auto found = by_id_.find(id);
     return found == by_id_.end() ? coordination::TimePoint{}
                                  : found->second->used;
@@ -66,7 +62,7 @@
 
  private:
   struct Part {
-    std::string id;
+    std::uint64_t id;
     std::size_t tokens;
     coordination::TimePoint used;
   };
@@ -74,7 +70,7 @@
   std::size_t most_tokens_;
   std::size_t tokens_ = 0;
   std::list<Part> order_;
-  std::unordered_map<std::string, std::list<Part>::iterator> by_id_;
+  std::unordered_map<std::uint64_t, std::list<Part>::iterator> by_id_;
 };
 
 }  // namespace peridotgate::gateway
--- a/gateway/src/server_book.cc
+++ b/gateway/src/server_book.cc
@@ -62,8 +62,11 @@
 constexpr milliseconds kMostDistrust{8000};
 // Work time of a plain request, in milliseconds, until one was measured.
 constexpr double kPlainWorkMs = 30;
-// The part of an engine's memory that its cached parts are taken to have.
-constexpr double kCachedShare = 0.6;
+// The part of an engine's memory that is taken to hold the prompts it was sent
+// last; outputs and the ends of blocks have the rest.
+constexpr double kCachedShare = 0.8;
+// Prompts that wait to be told; more are not told.
+constexpr std::size_t kMostSent = 256;
 
 std::uint64_t Hash(std::string_view a, std::string_view b) {
   return XXH3_64bits_withSeed(a.data(), a.size(),
@@ -185,6 +188,10 @@
   return key;
 }
 
+std::uint64_t HashOf(std::string_view key) {
+  return XXH3_64bits(key.data(), key.size());
+}
+
 }  // namespace
 
 struct ServerBook::Contents {
@@ -196,6 +203,7 @@
   // When each of the last versions was named, by model.
   std::map<std::string, std::map<std::int64_t, TimePoint>, std::less<>>
       named_at;
+  std::vector<SentPrompt> sent;  // Not told to others yet.
   bool cache_store_up = false;
   std::unordered_set<std::string> stored;  // Keys with scope and version.
   PartMemory saved{kSavedParts};
@@ -309,7 +317,7 @@
     }
     Scored score{&it, 0, prompt.tokens, false};
     if (!prompt.anchor.empty()) {
-      const bool known = it.parts.Has(prompt.anchor, now);
+      const bool known = it.parts.Has(HashOf(prompt.anchor));
       score.unsure = !known;
       score.missing = prompt.tokens - prompt.shared_tokens;
       const auto shared = static_cast<double>(prompt.shared_tokens);
@@ -348,13 +356,16 @@
     }
     place.saved_key =
         "v" + std::to_string(*place.weights_version) + "/" + prompt.anchor;
-    // Also of a server that had the parts: engines evict within seconds, and a
-    // look at the store costs a millisecond.
-    place.fetch_from = cache_store;
-    const bool just_saved = now - saved.LastUse(place.saved_key) < kSavedFor;
+    const bool just_saved =
+        now - saved.LastUse(HashOf(place.saved_key)) < kSavedFor;
     if (!just_saved && !stored.contains(place.saved_key)) {
       place.save_to = cache_store;
     }
+    // The store's link is shared by all, so only what the server is not known
+    // to have is looked for there.
+    if (score.unsure) {
+      place.fetch_from = cache_store;
+    }
     return place;
   }
 };
@@ -494,11 +505,18 @@
   Server& it = found->second;
   ++it.in_flight;
   it.unread_tokens += placement.tokens_missing;
+  SentPrompt sent{placement.server_id, {}, {}};
   for (const PromptPart& part : need.prompt) {
-    it.parts.Touch(PartKey(need.cache_scope, part.id), part.tokens, now);
+    const std::uint64_t id = HashOf(PartKey(need.cache_scope, part.id));
+    it.parts.Touch(id, part.tokens, now);
+    sent.parts.push_back(id);
+    sent.tokens.push_back(static_cast<std::int32_t>(part.tokens));
+  }
+  if (!sent.parts.empty() && contents_->sent.size() < kMostSent) {
+    contents_->sent.push_back(std::move(sent));
   }
   if (placement.save_to) {
-    contents_->saved.Touch(placement.saved_key, 1, now);
+    contents_->saved.Touch(HashOf(placement.saved_key), 1, now);
   }
 }
 
@@ -576,6 +594,23 @@
   return uses;
 }
 
+std::vector<SentPrompt> ServerBook::TakeSent() {
+  return std::exchange(contents_->sent, {});
+}
+
+void ServerBook::OnPeerSent(std::span<const SentPrompt> prompts,
+                            TimePoint now) {
+  for (const SentPrompt& it : prompts) {
+    auto found = contents_->servers.find(it.server_id);
+    if (found == contents_->servers.end()) {
+      continue;
+    }
+    for (std::size_t i = 0; i < it.parts.size() && i < it.tokens.size(); ++i) {
+      found->second.parts.Touch(it.parts[i], it.tokens[i], now);
+    }
+  }
+}
+
 void ServerBook::OnPeerUse(std::string_view peer,
                            std::span<const ServerUse> uses,
                            TimePoint now) {
--- a/gateway/src/traffic_parts.h
+++ b/gateway/src/traffic_parts.h
@@ -6,6 +6,8 @@
 #include <cstddef>
 #include <functional>
 #include <set>
+#include <string>
+#include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
 
@@ -33,6 +35,7 @@
   coordination::RetryBudget retries;
   ServerBook book = {};
   FleetView view = {};
+  std::unordered_map<std::string, double> late_share = {};  // By service.
   std::set<CallerStream*> idle = {};  // Connections between two requests.
   std::size_t body_bytes = 0;  // Held for requests that are being served.
   std::function<void()> on_use_changed = {};  // The book's own use changed.
--- a/gateway/src/use_exchange.cc
+++ b/gateway/src/use_exchange.cc
@@ -91,6 +91,13 @@
       use.unread_tokens = it.unread_tokens;
       notice.uses.push_back(std::move(use));
     }
+    for (SentPrompt& it : book.TakeSent()) {
+      wire::SentPrompt prompt;
+      prompt.server = std::move(it.server_id);
+      prompt.parts.assign(it.parts.begin(), it.parts.end());
+      prompt.tokens = std::move(it.tokens);
+      notice.prompts.push_back(std::move(prompt));
+    }
     const std::string bytes = wire::EncodeStruct(notice);
     for (const udp::endpoint& it : peers) {
       error_code ignored;  // A lost notice is repeated.
@@ -134,6 +141,13 @@
       uses.push_back({use.id, use.in_flight, use.unread_tokens});
     }
     book.OnPeerUse(peer, uses, clock.Now());
+    std::vector<SentPrompt> prompts;
+    for (const wire::SentPrompt& prompt : it.prompts) {
+      prompts.push_back({prompt.server,
+                         {prompt.parts.begin(), prompt.parts.end()},
+                         prompt.tokens});
+    }
+    book.OnPeerSent(prompts, clock.Now());
   }
 };
 
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -6776,6 +6776,191 @@
 }
 
 
+SentPrompt::~SentPrompt() noexcept {
+}
+
+
+void SentPrompt::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void SentPrompt::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
+
+void SentPrompt::__set_tokens(const std::vector<int32_t> & val) {
+  this->tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const SentPrompt& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SentPrompt::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size199;
+            ::apache::thrift::protocol::TType _etype202;
+            xfer += iprot->readListBegin(_etype202, _size199);
+            this->parts.resize(_size199);
+            uint32_t _i203;
+            for (_i203 = 0; _i203 < _size199; ++_i203)
+            {
+              xfer += iprot->readI64(this->parts[_i203]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tokens.clear();
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->tokens.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
+            {
+              xfer += iprot->readI32(this->tokens[_i208]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SentPrompt::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SentPrompt");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter209;
+    for (_iter209 = this->parts.begin(); _iter209 != this->parts.end(); ++_iter209)
+    {
+      xfer += oprot->writeI64((*_iter209));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->tokens.size()));
+    std::vector<int32_t> ::const_iterator _iter210;
+    for (_iter210 = this->tokens.begin(); _iter210 != this->tokens.end(); ++_iter210)
+    {
+      xfer += oprot->writeI32((*_iter210));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SentPrompt &a, SentPrompt &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.parts, b.parts);
+  swap(a.tokens, b.tokens);
+  swap(a.__isset, b.__isset);
+}
+
+SentPrompt::SentPrompt(const SentPrompt& other211) {
+  server = other211.server;
+  parts = other211.parts;
+  tokens = other211.tokens;
+  __isset = other211.__isset;
+}
+SentPrompt::SentPrompt(SentPrompt&& other212) noexcept {
+  server = std::move(other212.server);
+  parts = std::move(other212.parts);
+  tokens = std::move(other212.tokens);
+  __isset = other212.__isset;
+}
+SentPrompt& SentPrompt::operator=(const SentPrompt& other213) {
+  server = other213.server;
+  parts = other213.parts;
+  tokens = other213.tokens;
+  __isset = other213.__isset;
+  return *this;
+}
+SentPrompt& SentPrompt::operator=(SentPrompt&& other214) noexcept {
+  server = std::move(other214.server);
+  parts = std::move(other214.parts);
+  tokens = std::move(other214.tokens);
+  __isset = other214.__isset;
+  return *this;
+}
+void SentPrompt::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SentPrompt(";
+  out << "server=" << to_string(server);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ")";
+}
+
+
 UseNotice::~UseNotice() noexcept {
 }
 
@@ -6791,6 +6976,10 @@
 void UseNotice::__set_uses(const std::vector<ServerUse> & val) {
   this->uses = val;
 }
+
+void UseNotice::__set_prompts(const std::vector<SentPrompt> & val) {
+  this->prompts = val;
+}
 std::ostream& operator<<(std::ostream& out, const UseNotice& obj)
 {
   obj.printTo(out);
@@ -6839,14 +7028,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size199;
-            ::apache::thrift::protocol::TType _etype202;
-            xfer += iprot->readListBegin(_etype202, _size199);
-            this->uses.resize(_size199);
-            uint32_t _i203;
-            for (_i203 = 0; _i203 < _size199; ++_i203)
+            uint32_t _size215;
+            ::apache::thrift::protocol::TType _etype218;
+            xfer += iprot->readListBegin(_etype218, _size215);
+            this->uses.resize(_size215);
+            uint32_t _i219;
+            for (_i219 = 0; _i219 < _size215; ++_i219)
             {
-              xfer += this->uses[_i203].read(iprot);
+              xfer += this->uses[_i219].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6855,6 +7044,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->prompts.clear();
+            uint32_t _size220;
+            ::apache::thrift::protocol::TType _etype223;
+            xfer += iprot->readListBegin(_etype223, _size220);
+            this->prompts.resize(_size220);
+            uint32_t _i224;
+            for (_i224 = 0; _i224 < _size220; ++_i224)
+            {
+              xfer += this->prompts[_i224].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.prompts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6883,10 +7092,22 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<ServerUse> ::const_iterator _iter204;
-    for (_iter204 = this->uses.begin(); _iter204 != this->uses.end(); ++_iter204)
+    std::vector<ServerUse> ::const_iterator _iter225;
+    for (_iter225 = this->uses.begin(); _iter225 != this->uses.end(); ++_iter225)
     {
-      xfer += (*_iter204).write(oprot);
+      xfer += (*_iter225).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
+    std::vector<SentPrompt> ::const_iterator _iter226;
+    for (_iter226 = this->prompts.begin(); _iter226 != this->prompts.end(); ++_iter226)
+    {
+      xfer += (*_iter226).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6902,33 +7123,38 @@
   swap(a.incarnation, b.incarnation);
   swap(a.sequence, b.sequence);
   swap(a.uses, b.uses);
+  swap(a.prompts, b.prompts);
   swap(a.__isset, b.__isset);
 }
 
-UseNotice::UseNotice(const UseNotice& other205) {
-  incarnation = other205.incarnation;
-  sequence = other205.sequence;
-  uses = other205.uses;
-  __isset = other205.__isset;
-}
-UseNotice::UseNotice(UseNotice&& other206) noexcept {
-  incarnation = other206.incarnation;
-  sequence = other206.sequence;
-  uses = std::move(other206.uses);
-  __isset = other206.__isset;
-}
-UseNotice& UseNotice::operator=(const UseNotice& other207) {
-  incarnation = other207.incarnation;
-  sequence = other207.sequence;
-  uses = other207.uses;
-  __isset = other207.__isset;
+UseNotice::UseNotice(const UseNotice& other227) {
+  incarnation = other227.incarnation;
+  sequence = other227.sequence;
+  uses = other227.uses;
+  prompts = other227.prompts;
+  __isset = other227.__isset;
+}
+UseNotice::UseNotice(UseNotice&& other228) noexcept {
+  incarnation = other228.incarnation;
+  sequence = other228.sequence;
+  uses = std::move(other228.uses);
+  prompts = std::move(other228.prompts);
+  __isset = other228.__isset;
+}
+UseNotice& UseNotice::operator=(const UseNotice& other229) {
+  incarnation = other229.incarnation;
+  sequence = other229.sequence;
+  uses = other229.uses;
+  prompts = other229.prompts;
+  __isset = other229.__isset;
   return *this;
 }
-UseNotice& UseNotice::operator=(UseNotice&& other208) noexcept {
-  incarnation = other208.incarnation;
-  sequence = other208.sequence;
-  uses = std::move(other208.uses);
-  __isset = other208.__isset;
+UseNotice& UseNotice::operator=(UseNotice&& other230) noexcept {
+  incarnation = other230.incarnation;
+  sequence = other230.sequence;
+  uses = std::move(other230.uses);
+  prompts = std::move(other230.prompts);
+  __isset = other230.__isset;
   return *this;
 }
 void UseNotice::printTo(std::ostream& out) const {
@@ -6937,6 +7163,7 @@
   out << "incarnation=" << to_string(incarnation);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "uses=" << to_string(uses);
+  out << ", " << "prompts=" << to_string(prompts);
   out << ")";
 }
 
@@ -7033,26 +7260,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RulesCopy::RulesCopy(const RulesCopy& other209) {
-  version = other209.version;
-  text = other209.text;
-  __isset = other209.__isset;
+RulesCopy::RulesCopy(const RulesCopy& other231) {
+  version = other231.version;
+  text = other231.text;
+  __isset = other231.__isset;
 }
-RulesCopy::RulesCopy(RulesCopy&& other210) noexcept {
-  version = other210.version;
-  text = std::move(other210.text);
-  __isset = other210.__isset;
+RulesCopy::RulesCopy(RulesCopy&& other232) noexcept {
+  version = other232.version;
+  text = std::move(other232.text);
+  __isset = other232.__isset;
 }
-RulesCopy& RulesCopy::operator=(const RulesCopy& other211) {
-  version = other211.version;
-  text = other211.text;
-  __isset = other211.__isset;
+RulesCopy& RulesCopy::operator=(const RulesCopy& other233) {
+  version = other233.version;
+  text = other233.text;
+  __isset = other233.__isset;
   return *this;
 }
-RulesCopy& RulesCopy::operator=(RulesCopy&& other212) noexcept {
-  version = other212.version;
-  text = std::move(other212.text);
-  __isset = other212.__isset;
+RulesCopy& RulesCopy::operator=(RulesCopy&& other234) noexcept {
+  version = other234.version;
+  text = std::move(other234.text);
+  __isset = other234.__isset;
   return *this;
 }
 void RulesCopy::printTo(std::ostream& out) const {
@@ -7153,9 +7380,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast213;
-          xfer += iprot->readI32(ecast213);
-          this->state = static_cast<ClaimState::type>(ecast213);
+          int32_t ecast235;
+          xfer += iprot->readI32(ecast235);
+          this->state = static_cast<ClaimState::type>(ecast235);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7260,50 +7487,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRecord::ClaimRecord(const ClaimRecord& other214) {
-  attempt_token = other214.attempt_token;
-  agent = other214.agent;
-  body_digest = other214.body_digest;
-  state = other214.state;
-  status = other214.status;
-  content_type = other214.content_type;
-  body = other214.body;
-  at_ms = other214.at_ms;
-  __isset = other214.__isset;
-}
-ClaimRecord::ClaimRecord(ClaimRecord&& other215) noexcept {
-  attempt_token = std::move(other215.attempt_token);
-  agent = std::move(other215.agent);
-  body_digest = std::move(other215.body_digest);
-  state = other215.state;
-  status = other215.status;
-  content_type = std::move(other215.content_type);
-  body = std::move(other215.body);
-  at_ms = other215.at_ms;
-  __isset = other215.__isset;
-}
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other216) {
-  attempt_token = other216.attempt_token;
-  agent = other216.agent;
-  body_digest = other216.body_digest;
-  state = other216.state;
-  status = other216.status;
-  content_type = other216.content_type;
-  body = other216.body;
-  at_ms = other216.at_ms;
-  __isset = other216.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other236) {
+  attempt_token = other236.attempt_token;
+  agent = other236.agent;
+  body_digest = other236.body_digest;
+  state = other236.state;
+  status = other236.status;
+  content_type = other236.content_type;
+  body = other236.body;
+  at_ms = other236.at_ms;
+  __isset = other236.__isset;
+}
+ClaimRecord::ClaimRecord(ClaimRecord&& other237) noexcept {
+  attempt_token = std::move(other237.attempt_token);
+  agent = std::move(other237.agent);
+  body_digest = std::move(other237.body_digest);
+  state = other237.state;
+  status = other237.status;
+  content_type = std::move(other237.content_type);
+  body = std::move(other237.body);
+  at_ms = other237.at_ms;
+  __isset = other237.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other238) {
+  attempt_token = other238.attempt_token;
+  agent = other238.agent;
+  body_digest = other238.body_digest;
+  state = other238.state;
+  status = other238.status;
+  content_type = other238.content_type;
+  body = other238.body;
+  at_ms = other238.at_ms;
+  __isset = other238.__isset;
   return *this;
 }
-ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other217) noexcept {
-  attempt_token = std::move(other217.attempt_token);
-  agent = std::move(other217.agent);
-  body_digest = std::move(other217.body_digest);
-  state = other217.state;
-  status = other217.status;
-  content_type = std::move(other217.content_type);
-  body = std::move(other217.body);
-  at_ms = other217.at_ms;
-  __isset = other217.__isset;
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other239) noexcept {
+  attempt_token = std::move(other239.attempt_token);
+  agent = std::move(other239.agent);
+  body_digest = std::move(other239.body_digest);
+  state = other239.state;
+  status = other239.status;
+  content_type = std::move(other239.content_type);
+  body = std::move(other239.body);
+  at_ms = other239.at_ms;
+  __isset = other239.__isset;
   return *this;
 }
 void ClaimRecord::printTo(std::ostream& out) const {
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -196,6 +196,8 @@
 
 class ServerUse;
 
+class SentPrompt;
+
 class UseNotice;
 
 class RulesCopy;
@@ -2611,11 +2613,69 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerUse& obj);
 
+typedef struct _SentPrompt__isset {
+  _SentPrompt__isset() : server(false), parts(false), tokens(false) {}
+  bool server :1;
+  bool parts :1;
+  bool tokens :1;
+} _SentPrompt__isset;
+
+class SentPrompt : public virtual ::apache::thrift::TBase {
+ public:
+
+  SentPrompt(const SentPrompt&);
+  SentPrompt(SentPrompt&&) noexcept;
+  SentPrompt& operator=(const SentPrompt&);
+  SentPrompt& operator=(SentPrompt&&) noexcept;
+  SentPrompt() noexcept
+             : server() {
+  }
+
+  virtual ~SentPrompt() noexcept;
+  std::string server;
+  std::vector<int64_t>  parts;
+  std::vector<int32_t>  tokens;
+
+  _SentPrompt__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_parts(const std::vector<int64_t> & val);
+
+  void __set_tokens(const std::vector<int32_t> & val);
+
+  bool operator == (const SentPrompt & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const SentPrompt &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SentPrompt & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SentPrompt &a, SentPrompt &b);
+
+std::ostream& operator<<(std::ostream& out, const SentPrompt& obj);
+
 typedef struct _UseNotice__isset {
-  _UseNotice__isset() : incarnation(false), sequence(false), uses(false) {}
+  _UseNotice__isset() : incarnation(false), sequence(false), uses(false), prompts(false) {}
   bool incarnation :1;
   bool sequence :1;
   bool uses :1;
+  bool prompts :1;
 } _UseNotice__isset;
 
 class UseNotice : public virtual ::apache::thrift::TBase {
@@ -2634,6 +2694,7 @@
   int64_t incarnation;
   int64_t sequence;
   std::vector<ServerUse>  uses;
+  std::vector<SentPrompt>  prompts;
 
   _UseNotice__isset __isset;
 
@@ -2643,6 +2704,8 @@
 
   void __set_uses(const std::vector<ServerUse> & val);
 
+  void __set_prompts(const std::vector<SentPrompt> & val);
+
   bool operator == (const UseNotice & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -2651,6 +2714,8 @@
       return false;
     if (!(uses == rhs.uses))
       return false;
+    if (!(prompts == rhs.prompts))
+      return false;
     return true;
   }
   bool operator != (const UseNotice &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -181,7 +181,12 @@
 struct RolloutNotice { 1: string instance, 2: list<RolloutServer> servers }
 // What a gateway has at the backend servers now; the newest sequence counts.
 struct ServerUse { 1: string id, 2: i32 in_flight, 3: i64 unread_tokens }
-struct UseNotice { 1: i64 incarnation, 2: i64 sequence, 3: list<ServerUse> uses }
+// A prompt that was sent to a server: hashes of its parts, in order.
+struct SentPrompt { 1: string server, 2: list<i64> parts, 3: list<i32> tokens }
+struct UseNotice {
+  1: i64 incarnation, 2: i64 sequence, 3: list<ServerUse> uses,
+  4: list<SentPrompt> prompts
+}
 struct RulesCopy { 1: i64 version, 2: binary text }
 
 // A claim on an idempotency key, as kept in the platform's table. It is never
