--- a/coordination/tests/error/lease_test.cc
+++ b/coordination/tests/error/lease_test.cc
@@ -238,6 +238,38 @@
   EXPECT_EQ(lease.token(now), 1);
 }
 
+TEST(Lease, AReleasedOneIsFollowedAfterTheMargin) {
+  Row row;
+  TimePoint now{};
+  Lease first(Times(), Id128{1, 0});
+  Lease second(Times(), Id128{2, 0});
+  {
+    SCOPED_TRACE("the first holds, then releases");
+    first.Next(now);
+    first.OnRead(row.record, now);
+    ASSERT_EQ(first.Next(now), LeaseAction::kWrite);
+    ASSERT_TRUE(row.Write(first.to_write()));
+    first.OnWrite(LeaseWrite::kDone, now);
+    const auto released = first.Release();
+    ASSERT_TRUE(released);
+    ASSERT_TRUE(row.Write(*released));
+    EXPECT_FALSE(first.token(now).has_value());
+    EXPECT_EQ(first.Next(now), LeaseAction::kNone);
+    EXPECT_FALSE(first.Release());
+  }
+  {
+    SCOPED_TRACE("the second waits for the margin, not for the whole length");
+    ASSERT_EQ(second.Next(now), LeaseAction::kRead);
+    second.OnRead(row.record, now);
+    EXPECT_EQ(second.Next(now), LeaseAction::kNone);
+    now += kUnit;
+    ASSERT_EQ(second.Next(now), LeaseAction::kWrite);
+    ASSERT_TRUE(row.Write(second.to_write()));
+    second.OnWrite(LeaseWrite::kDone, now);
+    EXPECT_EQ(second.token(now), 2);
+  }
+}
+
 TEST(FencingGate, RefusesOlderTokensAndIsClosedAtFirst) {
   FencingGate gate;
   EXPECT_EQ(gate.Admit(5), FenceVerdict::kUnknown);
--- /dev/null
+++ b/gateway/tests/correctness/rules_test.cc
@@ -0,0 +1,70 @@
+// How requests find their route, their organisation and their service.
+#include "gateway/rules.h"
+
+#include <map>
+
+#include <gtest/gtest.h>
+
+namespace peridotgate::gateway {
+namespace {
+
+Route MakeRoute(std::string host, std::string prefix) {
+  Route route;
+  route.name = host + prefix;
+  route.host = std::move(host);
+  route.prefix = std::move(prefix);
+  route.shares = {{"engines", 1}};
+  return route;
+}
+
+TEST(Rules, FindWhatARequestIsAllowed) {
+  RulesText text;
+  text.version = 7;
+  text.routes = {MakeRoute("a.example", "/chat/"),
+                 MakeRoute("a.example", "/chat/long/"),
+                 MakeRoute("b.example", "/")};
+  text.organisations = {{"tailors", {"key-1", "key-2"}, 1, false}};
+  const Rules rules(std::move(text));
+  {
+    SCOPED_TRACE("the longest prefix that begins the path wins");
+    EXPECT_EQ(rules.FindRoute("a.example", "/chat/long/1")->prefix,
+              "/chat/long/");
+    EXPECT_EQ(rules.FindRoute("a.example", "/chat/1?x=/chat/long/")->prefix,
+              "/chat/");
+  }
+  {
+    SCOPED_TRACE("hosts are compared without port and case");
+    EXPECT_NE(rules.FindRoute("A.Example:8080", "/chat/1"), nullptr);
+  }
+  {
+    SCOPED_TRACE("a prefix ends at its slash, and other hosts have no part");
+    EXPECT_EQ(rules.FindRoute("a.example", "/chat"), nullptr);
+    EXPECT_EQ(rules.FindRoute("a.example", "/chatter/1"), nullptr);
+    EXPECT_EQ(rules.FindRoute("c.example", "/chat/1"), nullptr);
+  }
+  {
+    SCOPED_TRACE("a key names its organisation, and no other text does");
+    EXPECT_EQ(rules.FindKey("key-2")->name, "tailors");
+    EXPECT_EQ(rules.FindKey("key-3"), nullptr);
+    EXPECT_EQ(rules.FindKey(""), nullptr);
+  }
+}
+
+TEST(Rules, SplitARouteByWeightAndByRequest) {
+  Route route = MakeRoute("a.example", "/");
+  route.shares = {{"old", 90}, {"new", 10}};
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 10000; ++i) {
+    const std::string id = "request-" + std::to_string(i);
+    const std::string* first = ChooseService(route, id);
+    ASSERT_NE(first, nullptr);
+    EXPECT_EQ(first, ChooseService(route, id));
+    ++counts[*first];
+  }
+  EXPECT_NEAR(counts["new"], 1000, 150);
+  route.shares = {{"old", 0}};
+  EXPECT_EQ(ChooseService(route, "1"), nullptr);
+}
+
+}  // namespace
+}  // namespace peridotgate::gateway
