--- a/gateway/include/gateway/fleet_state.h
+++ b/gateway/include/gateway/fleet_state.h
@@ -68,6 +68,7 @@
   };
 
   void Remove(const std::string& key, bool at_once, TimePoint now);
+  bool HasNamedWeights(const std::string& id, const std::string& model) const;
   bool StoreWasLost(TimePoint now) const;
 
   const FleetFormat& format_;
--- a/gateway/include/gateway/order_giver.h
+++ b/gateway/include/gateway/order_giver.h
@@ -33,8 +33,9 @@
 
   void Start();
   void OnView(const FleetView& view);
-  /** Gives no more orders, and lets another process follow soon. */
-  void Leave();
+  /** Takes the duty no more. A roll-out under way goes on for up to `grace`,
+   * since the next holder may only begin a lease's margin later. */
+  void Leave(Millis grace);
 
  private:
   struct Contents;
--- a/gateway/include/gateway/server_book.h
+++ b/gateway/include/gateway/server_book.h
@@ -33,6 +33,7 @@
 struct Placement {
   std::string server_id;
   runtime::Endpoint address;
+  std::string model;  // Empty for plain services.
   std::optional<std::int64_t> weights_version;
   double cost_ms = 0;               // Predicted time to the first byte.
   std::int64_t tokens_missing = 0;  // Of the prompt, to be computed there.
--- a/gateway/src/fleet_state.cc
+++ b/gateway/src/fleet_state.cc
@@ -163,6 +163,15 @@
   return next;
 }
 
+bool FleetState::HasNamedWeights(const std::string& id,
+                                 const std::string& model) const {
+  const auto& weights = servers_.at(id).server.weights;
+  const auto present = weights.find(model);
+  const auto named = weights_.find(model);
+  return present != weights.end() && named != weights_.end() &&
+         present->second >= named->second;
+}
+
 bool FleetState::TakeChanged() {
   if (!std::exchange(changed_, false)) {
     return false;
@@ -175,7 +184,10 @@
                 [&](const auto& it) { return !servers_.contains(it.first); });
   auto rollout = std::make_shared<RolloutMap>();
   for (const auto& [id, told] : rollout_) {
-    rollout->emplace(id, told.state);
+    RolloutState state = told.state;
+    // Its own entry says that it is done: who gave the order may be gone.
+    state.switching = state.switching && !HasNamedWeights(id, state.model);
+    rollout->emplace(id, state);
   }
   view_.rollout = std::move(rollout);
   view_.servers = std::move(servers);
--- a/gateway/src/order_giver.cc
+++ b/gateway/src/order_giver.cc
@@ -112,7 +112,7 @@
   std::int64_t row_version = 0;
   WeightsRollout rollout;
   bool holding = false;
-  bool leaving = false;
+  std::optional<TimePoint> leave_by;
   std::map<std::string, std::shared_ptr<runtime::HttpClient>> clients;
 
   asio::awaitable<void> Run() {
@@ -120,7 +120,8 @@
     while (true) {
       timer.expires_after(kTick);
       co_await timer.async_wait(kNoThrow);
-      if (leaving) {
+      const bool unfinished = holding && rollout.pending();
+      if (leave_by && (!unfinished || clock.Now() >= *leave_by)) {
         co_await ReleaseLease();
         co_return;
       }
@@ -298,8 +299,8 @@
   asio::co_spawn(contents_->duty.context(), contents_->Run(), asio::detached);
 }
 
-void OrderGiver::Leave() {
-  contents_->leaving = true;
+void OrderGiver::Leave(Millis grace) {
+  contents_->leave_by = contents_->clock.Now() + grace;
 }
 
 void OrderGiver::OnView(const FleetView& view) {
--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -33,6 +33,9 @@
 // The balancer goes on sending connections until it has asked for readiness
 // twice in vain, at one question a second.
 constexpr Millis kBalancerGrace{2500};
+// The part of a leaving process's time in which it goes on giving orders.
+constexpr int kOrdersShare = 2;
+constexpr int kOrdersShares = 3;
 // The process ends this much before it would be killed.
 constexpr Millis kStopMargin{500};
 
@@ -174,7 +177,9 @@
     const auto grace = std::max(Millis(0), settings_.stop_within - kStopMargin);
     const auto deadline = clock_.Now() + grace;
     LogEvent("leaving", LogClass::kNotable).Add("why", "signal");
-    orders_.Leave();
+    orders_.Leave(kOrdersShare *
+                  std::chrono::duration_cast<Millis>(deadline - clock_.Now()) /
+                  kOrdersShares);
     asio::post(traffic_duty_.context(), [this] { traffic_.StopKeeping(); });
     co_await Pause(std::min(kBalancerGrace, grace));
     // A caller that is idle may reuse its connection at any time, and what it
--- a/gateway/src/server_book.cc
+++ b/gateway/src/server_book.cc
@@ -349,6 +349,7 @@
     if (need.model.empty()) {
       return place;
     }
+    place.model = need.model;
     place.weights_version = it.Version(need.model);
     if (prompt.anchor.empty() || !cache_store || !cache_store_up ||
         !place.weights_version) {
@@ -524,7 +525,13 @@
                         const ServerHead& head,
                         TimePoint now) {
   auto found = contents_->servers.find(placement.server_id);
-  if (found == contents_->servers.end() || !head.load) {
+  if (found == contents_->servers.end()) {
+    return;
+  }
+  if (!placement.model.empty() && head.weights_version) {
+    found->second.Learn(placement.model, *head.weights_version);
+  }
+  if (!head.load) {
     return;
   }
   found->second.load = *head.load;
--- a/gateway/tests/error/fleet_state_test.cc
+++ b/gateway/tests/error/fleet_state_test.cc
@@ -9,7 +9,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Rules are a version; servers are "ready" or "leaving"; weights "m=N".
+// Rules are a version; servers are "ready", "leaving", or ready with the
+// version of their weights.
 class PlainFormat : public FleetFormat {
  public:
   std::string_view operator_table() const override { return "rules"; }
@@ -33,12 +34,16 @@
   std::optional<BackendServer> ReadServer(std::string_view key,
                                           std::string_view value,
                                           std::string& fault) const override {
+    BackendServer server;
+    server.id = key;
+    if (value == "2") {
+      server.weights["model"] = 2;
+      return server;
+    }
     if (value != "ready" && value != "leaving") {
       fault = "unknown state";
       return std::nullopt;
     }
-    BackendServer server;
-    server.id = key;
     server.leaving = value == "leaving";
     return server;
   }
@@ -139,5 +144,18 @@
   EXPECT_FALSE(state_.view().rollout->at("a").switching);
 }
 
+TEST_F(State, BelievesAServerThatItsSwitchIsDone) {
+  Operator("model", "2");
+  Server("a", "ready");
+  state_.OnRollout({{"a", {"model", 1, true}}}, now_);
+  state_.TakeChanged();
+  EXPECT_TRUE(state_.view().rollout->at("a").switching);
+  {
+    SCOPED_TRACE("the order giver is gone; the entry has the named weights");
+    Server("a", "2");
+    EXPECT_FALSE(state_.view().rollout->at("a").switching);
+  }
+}
+
 }  // namespace
 }  // namespace peridotgate::gateway
