--- a/gateway/src/server_book.cc
+++ b/gateway/src/server_book.cc
@@ -400,8 +400,8 @@
     }
   }
   it.targets = view.weights;
-  static const ServerMap kNone;
-  const ServerMap& listed = view.servers ? *view.servers : kNone;
+  static const ServerMap none;
+  const ServerMap& listed = view.servers ? *view.servers : none;
   std::erase_if(it.servers, [&](const auto& entry) {
     auto found = listed.find(entry.first);
     return found == listed.end() ||
