--- a/coordination/include/coordination/retry_budget.h
+++ b/coordination/include/coordination/retry_budget.h
@@ -33,6 +33,11 @@
     Earn(Find(organisation), limits_.organisation_ratio);
   }
 
+  /** Whether `TryRetry` would succeed now. */
+  bool Allows(std::string_view organisation) {
+    return total_ >= 1 && Find(organisation) >= 1;
+  }
+
   /** Whether a retry is within both budgets; takes it from them if so. */
   bool TryRetry(std::string_view organisation) {
     double& own = Find(organisation);
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -171,7 +171,8 @@
 TimePoint Exchange::SilenceLimit() const {
   const bool last_run = runs_ + 1 >= std::max(1, route_->attempts);
   if (!route_->idempotent || last_run || route_->objective.count() == 0 ||
-      parts_.late_share[service_] > kMostLate) {
+      parts_.late_share[service_] > kMostLate ||
+      !parts_.retries.Allows(service_)) {
     return deadline_;
   }
   const auto predicted = std::chrono::duration_cast<coordination::Duration>(
--- a/operate/include/operate/verb.h
+++ b/operate/include/operate/verb.h
@@ -76,6 +76,7 @@
 /** Each adds its verb to `app`; `run` gets the work of the one chosen. */
 void AddServe(CLI::App& app, RunVerb& run);
 void AddGateway(CLI::App& app, RunVerb& run);
+void AddExplain(CLI::App& app, RunVerb& run);
 void AddSurvey(CLI::App& app, RunVerb& run);
 void AddCheck(CLI::App& app, RunVerb& run);
 void AddDiff(CLI::App& app, RunVerb& run);
--- a/operate/src/verb.cc
+++ b/operate/src/verb.cc
@@ -12,8 +12,8 @@
 
 using AddVerb = void (*)(CLI::App&, RunVerb&);
 
-constexpr std::array<AddVerb, 10> kVerbs = {
-    AddServe, AddGateway, AddSurvey,  AddCheck,  AddDiff,
+constexpr std::array<AddVerb, 11> kVerbs = {
+    AddServe, AddGateway, AddExplain, AddSurvey, AddCheck, AddDiff,
     AddApply, AddStatus,  AddHistory, AddRevert, AddReport};
 
 void PrintText(const VerbResult& result) {
