gateway: a part of the shared retry budget from the start; fewer idle connections

Found by reading: a gateway that knew no others took the whole slack, so six that restart together could make 240 repeated arrivals where 58 are allowed.

--- a/gateway/include/gateway/fleet_view.h
+++ b/gateway/include/gateway/fleet_view.h
@@ -47,8 +47,8 @@
   std::shared_ptr<const ServerMap> servers;
   std::shared_ptr<const WeightsTargets> weights;
   std::shared_ptr<const RolloutMap> rollout;
+  // The other gateways, which share the budgets; null until known.
   std::shared_ptr<const std::vector<runtime::Endpoint>> peers;
-  std::size_t gateways = 1;  // Live gateways that share the budgets.
 };
 
 }  // namespace peridotgate::gateway
--- a/gateway/src/connection_pool.cc
+++ b/gateway/src/connection_pool.cc
@@ -8,8 +8,9 @@
 // A connection used within this time is taken to be alive by requests that
 // may not be sent twice.
 constexpr Millis kRecent{1000};
-// Idle connections kept for one server.
-constexpr std::size_t kMostIdle = 32;
+// Idle connections kept for one server. A small server takes some hundred from
+// all gateways, those in use among them.
+constexpr std::size_t kMostIdle = 10;
 
 }  // namespace
 
--- a/gateway/src/fleet_state.cc
+++ b/gateway/src/fleet_state.cc
@@ -121,7 +121,6 @@
   if (view_.peers && *view_.peers == peers) {
     return;
   }
-  view_.gateways = peers.size() + 1;
   view_.peers =
       std::make_shared<const std::vector<runtime::Endpoint>>(std::move(peers));
   changed_ = true;
--- a/gateway/src/traffic.cc
+++ b/gateway/src/traffic.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "caller_connection.h"
+#include "retry_limits.h"
 #include "traffic_parts.h"
 #include "use_exchange.h"
 
@@ -23,20 +24,6 @@
 // After a failed accept, such as for want of descriptors.
 constexpr Millis kAcceptPause{20};
 constexpr int kBacklog = 1024;
-// The part of the shared slack that is used: gateways that start or stop make
-// the shares overlap for a while.
-constexpr double kSlackUsed = 0.7;
-
-coordination::RetryBudgetLimits RetryLimits(const GatewaySettings& settings,
-                                            std::size_t gateways) {
-  coordination::RetryBudgetLimits limits;
-  limits.ratio = settings.retry_ratio * kSlackUsed;
-  limits.burst = kSlackUsed * settings.retry_slack /
-                 static_cast<double>(std::max<std::size_t>(1, gateways));
-  limits.organisation_ratio = limits.ratio;
-  return limits;
-}
-
 }  // namespace
 
 struct Traffic::Contents {
@@ -53,7 +40,7 @@
               servers,
               metrics,
               ConnectionPool(duty.context(), clock, servers),
-              coordination::RetryBudget(RetryLimits(settings, 1))},
+              coordination::RetryBudget(RetryLimits(settings, std::nullopt))},
         acceptor(duty.context()),
         uses(duty.context(), clock, parts.book, settings.peers) {
     parts.on_use_changed = [this] { uses.OnChange(); };
@@ -135,11 +122,10 @@
 
 void Traffic::OnView(FleetView view) {
   TrafficParts& parts = contents_->parts;
-  if (view.gateways != parts.view.gateways) {
+  if (view.peers && view.peers != parts.view.peers) {
+    const std::size_t gateways = view.peers->size() + 1;
     parts.retries =
-        coordination::RetryBudget(RetryLimits(parts.settings, view.gateways));
-  }
-  if (view.peers) {
+        coordination::RetryBudget(RetryLimits(parts.settings, gateways));
     contents_->uses.SetPeers(*view.peers);
   }
   parts.view = std::move(view);
