gateway: the operator's limit for old weights and the instance's memory come from the settings

Found by reading: 8.5 s and 24 MB were constants, where other deployments have other bounds. Unused members and settings are gone.

--- a/gateway/include/gateway/cache_store_watch.h
+++ b/gateway/include/gateway/cache_store_watch.h
@@ -10,7 +10,6 @@
 #include "gateway/protocol.h"
 #include "gateway/server_book.h"
 #include "runtime/duty.h"
-#include "runtime/metrics.h"
 
 namespace peridotgate::gateway {
 
@@ -22,8 +21,7 @@
 
   CacheStoreWatch(runtime::Duty& duty,
                   const ServerProtocol& protocol,
-                  Publish publish,
-                  runtime::Metrics& metrics);
+                  Publish publish);
   ~CacheStoreWatch();
 
   void Start();
--- a/gateway/include/gateway/server_book.h
+++ b/gateway/include/gateway/server_book.h
@@ -90,7 +90,10 @@
  */
 class ServerBook {
  public:
-  ServerBook();
+  /** Old weights are not used `old_weights_limit` after newer ones were named.
+   */
+  explicit ServerBook(
+      Millis old_weights_limit = std::chrono::milliseconds(8500));
   ~ServerBook();
 
   /** Takes new beliefs; figures of servers that stay are kept. */
--- a/gateway/include/gateway/settings.h
+++ b/gateway/include/gateway/settings.h
@@ -24,8 +24,7 @@
   Millis stop_within{8000};  // From SIGTERM to the end of the process.
   double retry_ratio = 0.2;  // Repeated arrivals for each request.
   int retry_slack = 50;      // More of them, over all gateways.
-  Millis retry_window{10000};
-  Millis lease{3000};  // Two order givers keep this far apart.
+  Millis lease{3000};        // Two order givers keep this far apart.
   Millis weights_deadline{10000};
   int memory_mb = 0;  // 0: unknown.
   std::string log_level = "info";
--- a/gateway/include/gateway/traffic.h
+++ b/gateway/include/gateway/traffic.h
@@ -38,8 +38,6 @@
   void StopAccepting();
   /** Requests being served now. Any thread may ask. */
   std::size_t open_requests() const;
-  /** Connections of callers. Any thread may ask. */
-  std::size_t connections() const;
 
  private:
   struct Contents;
--- a/gateway/src/cache_store_watch.cc
+++ b/gateway/src/cache_store_watch.cc
@@ -32,7 +32,6 @@
   runtime::Duty& duty;
   const ServerProtocol& protocol;
   Publish publish;
-  runtime::Metrics& metrics;
   std::optional<runtime::Endpoint> address = {};
   std::shared_ptr<runtime::HttpClient> client = {};
   std::int64_t epoch = 0;
@@ -85,9 +84,8 @@
 
 CacheStoreWatch::CacheStoreWatch(runtime::Duty& duty,
                                  const ServerProtocol& protocol,
-                                 Publish publish,
-                                 runtime::Metrics& metrics)
-    : contents_(new Contents{duty, protocol, std::move(publish), metrics}) {}
+                                 Publish publish)
+    : contents_(new Contents{duty, protocol, std::move(publish)}) {}
 
 CacheStoreWatch::~CacheStoreWatch() = default;
 
--- a/gateway/src/caller_connection.cc
+++ b/gateway/src/caller_connection.cc
@@ -29,8 +29,15 @@
 // Idle connections are kept this much longer than the rules allow callers to
 // reuse them, so that a last request is not met by a close.
 constexpr Millis kIdleMargin{500};
-// Bytes of bodies that may be held at once.
-constexpr std::size_t kMaxHeldBodies = 24 << 20;
+// The part of the process's memory that bodies may take, and what they may
+// where its size is unknown.
+constexpr std::size_t kBodyShare = 4;
+constexpr std::size_t kUsualBodyBytes = 24 << 20;
+
+std::size_t MostBodyBytes(const GatewaySettings& settings) {
+  const auto memory = static_cast<std::size_t>(settings.memory_mb) << 20;
+  return memory == 0 ? kUsualBodyBytes : memory / kBodyShare;
+}
 
 // The status that tells a caller what was wrong with its bytes; 0 for a
 // connection that ended in good order.
@@ -113,7 +120,7 @@
     co_return std::nullopt;
   }
   if (!parser.is_done()) {
-    if (parts.body_bytes > kMaxHeldBodies) {
+    if (parts.body_bytes > MostBodyBytes(parts.settings)) {
       co_await SendStatus(caller, 503);
       co_return std::nullopt;
     }
@@ -144,7 +151,6 @@
 
 asio::awaitable<void> ServeCaller(std::shared_ptr<CallerStream> caller,
                                   TrafficParts& parts) {
-  ++parts.connections;
   bool keep = true;
   while (keep && parts.accepting) {
     auto request = co_await Read(*caller, parts);
@@ -168,7 +174,6 @@
     caller->stream().socket().shutdown(asio::ip::tcp::socket::shutdown_send,
                                        ignored);
   }
-  --parts.connections;
 }
 
 }  // namespace peridotgate::gateway
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -133,7 +133,6 @@
 }
 
 asio::awaitable<void> Exchange::Attempts() {
-  Step last = Step::kNotRun;
   while (true) {
     if (caller_.gone()) {
       Finish("caller_gone", 0);
@@ -144,17 +143,17 @@
                      ? std::nullopt
                      : parts_.book.Place(MakeNeed(), now);
     if (!place) {
-      co_await GiveUp(last);
+      co_await GiveUp();
       co_return;
     }
     predicted_ms_ = place->cost_ms;
-    last = co_await TryServer(*place);
+    const Step last = co_await TryServer(*place);
     if (last == Step::kDone) {
       co_return;
     }
     tried_.push_back(place->server_id);
     if (!MayTryAgain(last)) {
-      co_await GiveUp(last);
+      co_await GiveUp();
       co_return;
     }
   }
@@ -497,8 +496,8 @@
   co_return Step::kDone;
 }
 
-// No further attempt: tells the caller what is true of the last one.
-asio::awaitable<void> Exchange::GiveUp(Step last) {
+// No further attempt: tells the caller what is true of those before.
+asio::awaitable<void> Exchange::GiveUp() {
   if (caller_.gone()) {
     Finish("caller_gone", 0);
     co_return;
@@ -521,7 +520,6 @@
     co_await Refuse(refusal);
     co_return;
   }
-  (void)last;
   const bool served = parts_.book.HasServer(service_, Now());
   const Refusal refusal{503, served ? "no_place" : "no_server",
                         parts_.book.ReturnAfter(service_)};
--- a/gateway/src/exchange.h
+++ b/gateway/src/exchange.h
@@ -70,7 +70,7 @@
   bool MayTryAgain(Step step) const;
   TimePoint SilenceLimit() const;
   AttemptOutcome OutcomeOf(ServerError error) const;
-  asio::awaitable<void> GiveUp(Step last);
+  asio::awaitable<void> GiveUp();
   asio::awaitable<void> Refuse(Refusal refusal);
   void ReadPrompt(const Placement& place);
   void Finish(std::string_view outcome, unsigned status);
--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -75,8 +75,7 @@
         cache_store_(
             control_duty_,
             protocols.servers,
-            [this](CacheStoreNews news) { return news_.TrySend(news); },
-            metrics_),
+            [this](CacheStoreNews news) { return news_.TrySend(news); }),
         follower_(
             control_duty_,
             clock_,
--- a/gateway/src/server_book.cc
+++ b/gateway/src/server_book.cc
@@ -37,14 +37,14 @@
 // Parts that are remembered as saved.
 constexpr std::size_t kSavedParts = 8192;
 // Old weights cost nothing for this long after new ones were named, then are
-// avoided, and are not used at all shortly before the operator's limit.
+// avoided.
 constexpr milliseconds kOldWeightsFree{1300};
 constexpr double kOldWeightsCostMs = 120;
-constexpr milliseconds kOldWeightsLimit{8500};
 // Versions of one model whose naming is remembered.
 constexpr std::size_t kNamedVersions = 32;
-// A process that starts can't know when weights were named.
-constexpr milliseconds kNamedBeforeStart{6500};
+// A process that starts can't know when weights were named: it uses old ones
+// for this long.
+constexpr milliseconds kOldWeightsAtStart{2000};
 // A server whose switch was not reported as done is tried again after this.
 constexpr milliseconds kSwitchTimeout{4000};
 // The part of a plain request's time that a full server adds.
@@ -204,10 +204,10 @@
   std::map<std::string, std::map<std::int64_t, TimePoint>, std::less<>>
       named_at;
   std::vector<SentPrompt> sent;  // Not told to others yet.
+  Millis old_weights_limit{0};
   bool cache_store_up = false;
   std::unordered_set<std::string> stored;  // Keys with scope and version.
   PartMemory saved{kSavedParts};
-  TimePoint started{};
 
   std::span<Server* const> Of(std::string_view service) const {
     auto found = by_service.find(service);
@@ -310,7 +310,7 @@
     const std::int64_t version = it.Version(need.model).value_or(0);
     if (version < prompt.newest) {
       const auto age = Outdated(need.model, version, now);
-      if (age >= kOldWeightsLimit) {
+      if (age >= old_weights_limit) {
         return std::nullopt;
       }
       cost += age >= kOldWeightsFree ? kOldWeightsCostMs : 0;
@@ -371,7 +371,11 @@
   }
 };
 
-ServerBook::ServerBook() : contents_(std::make_unique<Contents>()) {}
+ServerBook::ServerBook(Millis old_weights_limit)
+    : contents_(std::make_unique<Contents>()) {
+  contents_->old_weights_limit = old_weights_limit;
+}
+
 ServerBook::~ServerBook() = default;
 
 void ServerBook::OnView(const FleetView& view, TimePoint now) {
@@ -386,13 +390,15 @@
       }
     }
   }
+  const Millis before_start =
+      std::max(Millis(0), it.old_weights_limit - kOldWeightsAtStart);
   if (view.weights) {
     for (const auto& [model, version] : *view.weights) {
       const bool known = it.targets && it.targets->contains(model) &&
                          it.targets->at(model) == version;
       if (!known) {
         auto& named = it.named_at[model];
-        named[version] = first ? now - kNamedBeforeStart : now;
+        named[version] = first ? now - before_start : now;
         if (named.size() > kNamedVersions) {
           named.erase(named.begin());
         }
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -24,8 +24,6 @@
   it.retry_ratio = reader.Decimal("retries.ratio", 0, 1, it.retry_ratio);
   it.retry_slack = static_cast<int>(
       reader.Integer("retries.slack", 0, kMaxSlack, it.retry_slack));
-  it.retry_window =
-      reader.Millis("retries.window_ms", 1, kMaxMs, it.retry_window.count());
   it.lease = reader.Millis("orders.lease_ms", 1, kMaxMs, it.lease.count());
   it.weights_deadline = reader.Millis("orders.deadline_ms", 1, kMaxMs,
                                       it.weights_deadline.count());
--- a/gateway/src/traffic.cc
+++ b/gateway/src/traffic.cc
@@ -24,6 +24,9 @@
 // After a failed accept, such as for want of descriptors.
 constexpr Millis kAcceptPause{20};
 constexpr int kBacklog = 1024;
+// Old weights are given up this much before the operator's limit, which counts
+// from when the store took the new name.
+constexpr Millis kWeightsMargin{1500};
 }  // namespace
 
 struct Traffic::Contents {
@@ -40,7 +43,9 @@
               servers,
               metrics,
               ConnectionPool(duty.context(), clock, servers),
-              coordination::RetryBudget(RetryLimits(settings, std::nullopt))},
+              coordination::RetryBudget(RetryLimits(settings, std::nullopt)),
+              ServerBook(std::max(Millis(0),
+                                  settings.weights_deadline - kWeightsMargin))},
         acceptor(duty.context()),
         uses(duty.context(), clock, parts.book, settings.peers) {
     parts.on_use_changed = [this] { uses.OnChange(); };
@@ -154,8 +159,4 @@
   return contents_->parts.open_requests.load();
 }
 
-std::size_t Traffic::connections() const {
-  return contents_->parts.connections.load();
-}
-
 }  // namespace peridotgate::gateway
--- a/gateway/src/traffic_parts.h
+++ b/gateway/src/traffic_parts.h
@@ -33,7 +33,7 @@
   runtime::Metrics& metrics;
   ConnectionPool pool;
   coordination::RetryBudget retries;
-  ServerBook book = {};
+  ServerBook book;
   FleetView view = {};
   std::unordered_map<std::string, double> late_share = {};  // By service.
   std::set<CallerStream*> idle = {};  // Connections between two requests.
@@ -42,7 +42,6 @@
   bool keeping = true;
   bool accepting = true;
   std::atomic<std::size_t> open_requests{0};
-  std::atomic<std::size_t> connections{0};
 };
 
 }  // namespace peridotgate::gateway
