--- a/gateway/include/gateway/cache_store_watch.h
+++ b/gateway/include/gateway/cache_store_watch.h
@@ -24,7 +24,7 @@
                   Publish publish);
   ~CacheStoreWatch();
 
-  void Start();
+  /** Watches the stores that the rules name, and no others. */
   void OnView(const FleetView& view);
 
  private:
--- a/gateway/include/gateway/rules.h
+++ b/gateway/include/gateway/rules.h
@@ -109,6 +109,9 @@
   std::unordered_map<std::string, const Organisation*> by_key_;
 };
 
+/** The cache stores that the rules name; none without rules. */
+std::vector<runtime::Endpoint> CacheStores(const Rules* rules);
+
 /** The service that a request goes to: by weight, the same for the same id. */
 const std::string* ChooseService(const Route& route, std::string_view request);
 
--- a/gateway/include/gateway/server_book.h
+++ b/gateway/include/gateway/server_book.h
@@ -38,7 +38,9 @@
   double cost_ms = 0;               // Predicted time to the first byte.
   std::int64_t tokens_missing = 0;  // Of the prompt, to be computed there.
   std::optional<runtime::Endpoint> fetch_from;  // Holds more of the prompt.
-  std::optional<runtime::Endpoint> save_to;     // Should keep the prompt too.
+  std::string copied_from;         // The server at `fetch_from`, if it is one.
+  std::int64_t copied_tokens = 0;  // What is looked for there.
+  std::optional<runtime::Endpoint> save_to;  // Should keep the prompt too.
   std::string saved_key;  // Under which the book remembers that it was saved.
 };
 
@@ -66,8 +68,9 @@
   std::vector<std::int32_t> tokens;
 };
 
-/** What is known anew of the cache store. */
+/** What is known anew of one cache store. */
 struct CacheStoreNews {
+  runtime::Endpoint store;
   bool reachable = false;
   bool emptied = false;  // It lost what it had before these events.
   std::vector<CacheEvent> events;
@@ -126,9 +129,11 @@
   std::vector<SentPrompt> TakeSent();
   /** Prompts that another gateway sent. */
   void OnPeerSent(std::span<const SentPrompt> prompts, TimePoint now);
-  /** What another gateway has at servers, in place of what it told before. */
+  /** What another gateway has at servers: all of it, in place of what it told
+   * before, or only what changed since. */
   void OnPeerUse(std::string_view peer,
                  std::span<const ServerUse> uses,
+                 bool whole,
                  TimePoint now);
 
   void OnCacheStore(const CacheStoreNews& news);
--- a/gateway/src/cache_store_watch.cc
+++ b/gateway/src/cache_store_watch.cc
@@ -1,5 +1,7 @@
 #include "gateway/cache_store_watch.h"
 
+#include <algorithm>
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -29,56 +31,61 @@
 }  // namespace
 
 struct CacheStoreWatch::Contents {
+  // One cache store that is watched while the rules name it.
+  struct Watched {
+    runtime::Endpoint address;
+    runtime::HttpClient client;
+    std::int64_t epoch = 0;
+    std::int64_t since = 0;
+    bool up = false;
+    bool resync = false;  // Some news were not taken.
+    bool named = true;    // By the rules in force.
+  };
+
   runtime::Duty& duty;
   const ServerProtocol& protocol;
   Publish publish;
-  std::optional<runtime::Endpoint> address = {};
-  std::shared_ptr<runtime::HttpClient> client = {};
-  std::int64_t epoch = 0;
-  std::int64_t since = 0;
-  bool up = false;
-  bool resync = false;  // Some news were not taken.
-
-  asio::awaitable<void> Run() {
+  std::map<std::string, std::shared_ptr<Watched>> stores = {};
+
+  asio::awaitable<void> Watch(std::shared_ptr<Watched> store) {
     asio::steady_timer timer(duty.context());
-    while (true) {
-      if (client) {
-        // Held here, since the rules may name another store meanwhile.
-        const auto asked = client;
-        auto request = protocol.AskCacheChanges(since, kWait);
-        auto answer =
-            co_await asked->Fetch(std::move(request), kWait + kAnswerMargin);
-        std::optional<CacheChanges> changes;
-        if (answer && answer.value().result() == http::status::ok) {
-          changes = protocol.ReadCacheChanges(answer.value().body());
-        }
-        const bool busy = answer && answer.value().result() ==
-                                        http::status::too_many_requests;
-        if (asked == client && !busy) {
-          OnAnswer(std::move(changes));
-        }
+    while (store->named) {
+      auto request = protocol.AskCacheChanges(store->since, kWait);
+      auto answer = co_await store->client.Fetch(std::move(request),
+                                                 kWait + kAnswerMargin);
+      std::optional<CacheChanges> changes;
+      if (answer && answer.value().result() == http::status::ok) {
+        changes = protocol.ReadCacheChanges(answer.value().body());
+      }
+      const bool busy =
+          answer && answer.value().result() == http::status::too_many_requests;
+      if (store->named && !busy) {
+        OnAnswer(*store, std::move(changes));
       }
       timer.expires_after(kPause);
       co_await timer.async_wait(kNoThrow);
     }
   }
 
-  void OnAnswer(std::optional<CacheChanges> changes) {
+  void OnAnswer(Watched& store, std::optional<CacheChanges> changes) {
     CacheStoreNews news;
+    news.store = store.address;
     news.reachable = changes.has_value();
     if (changes) {
-      news.emptied = changes->epoch != epoch || changes->lost || resync;
-      epoch = changes->epoch;
-      since = changes->next;
+      news.emptied =
+          changes->epoch != store.epoch || changes->lost || store.resync;
+      store.epoch = changes->epoch;
+      store.since = changes->next;
       news.events = std::move(changes->events);
     }
-    if (up != news.reachable) {
-      up = news.reachable;
-      LogEvent(up ? "cache_store_regained" : "cache_store_lost",
+    if (store.up != news.reachable) {
+      store.up = news.reachable;
+      LogEvent(store.up ? "cache_store_regained" : "cache_store_lost",
                LogClass::kNotable)
-          .Add("epoch", epoch);
+          .Add("store", runtime::ToString(store.address))
+          .Add("epoch", store.epoch);
     }
-    resync = !publish(std::move(news));
+    store.resync = !publish(std::move(news));
   }
 };
 
@@ -89,29 +96,23 @@
 
 CacheStoreWatch::~CacheStoreWatch() = default;
 
-void CacheStoreWatch::Start() {
-  asio::co_spawn(contents_->duty.context(), contents_->Run(), asio::detached);
-}
-
 void CacheStoreWatch::OnView(const FleetView& view) {
   Contents& it = *contents_;
-  std::optional<runtime::Endpoint> address;
-  if (view.rules) {
-    for (const Service& service : view.rules->services()) {
-      if (service.cache_store) {
-        address = service.cache_store;
-      }
+  const auto named = CacheStores(view.rules.get());
+  std::erase_if(it.stores, [&](const auto& entry) {
+    Contents::Watched& store = *entry.second;
+    store.named =
+        std::find(named.begin(), named.end(), store.address) != named.end();
+    return !store.named;
+  });
+  for (const runtime::Endpoint& address : named) {
+    auto& store = it.stores[runtime::ToString(address)];
+    if (!store) {
+      store = std::shared_ptr<Contents::Watched>(new Contents::Watched{
+          address, runtime::HttpClient(it.duty.context(), address)});
+      asio::co_spawn(it.duty.context(), it.Watch(store), asio::detached);
     }
   }
-  if (address == it.address) {
-    return;
-  }
-  it.address = address;
-  it.epoch = 0;
-  it.since = 0;
-  it.client = address ? std::make_shared<runtime::HttpClient>(it.duty.context(),
-                                                              *address)
-                      : nullptr;
 }
 
 }  // namespace peridotgate::gateway
--- a/gateway/src/caller_stream.cc
+++ b/gateway/src/caller_stream.cc
@@ -1,5 +1,6 @@
 #include "caller_stream.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -117,6 +118,15 @@
   stream_.socket().close(ignored);
 }
 
+bool CallerStream::HasClosed() {
+  pollfd poll_fd{stream_.socket().native_handle(), POLLRDHUP, 0};
+  constexpr short kClosed = POLLRDHUP | POLLHUP | POLLERR | POLLNVAL;
+  const bool closed =
+      ::poll(&poll_fd, 1, 0) > 0 && (poll_fd.revents & kClosed) != 0;
+  gone_ = gone_ || closed;
+  return gone_;
+}
+
 void CallerStream::Watch(std::function<void()> gone) {
   on_gone_ = std::move(gone);
   if (buf_.size() == 0 && !watching_) {
--- a/gateway/src/caller_stream.h
+++ b/gateway/src/caller_stream.h
@@ -48,6 +48,9 @@
   void StopWatching();
 
   bool gone() const { return gone_; }
+  /** Asks the socket whether the caller has closed, also when the event that
+   * tells so waits behind others or behind bytes that were not read. */
+  bool HasClosed();
   bool aborted() const { return aborted_; }
 
  private:
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -134,7 +134,7 @@
 
 asio::awaitable<void> Exchange::Attempts() {
   while (true) {
-    if (caller_.gone()) {
+    if (caller_.HasClosed()) {
       Finish("caller_gone", 0);
       co_return;
     }
@@ -280,8 +280,9 @@
   if (!connection_) {
     outcome = caller_.gone() ? AttemptOutcome::kNeutral
                              : AttemptOutcome::kUnreachable;
-  } else if (!parts_.book.MayUse(place.server_id)) {
-    // It began to leave while the connection was made.
+  } else if (!parts_.book.MayUse(place.server_id) || caller_.HasClosed()) {
+    // The server began to leave, or the caller left, while the connection was
+    // made.
     outcome = AttemptOutcome::kNeutral;
   } else {
     ++arrivals_;
--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -103,7 +103,6 @@
     pages_.Add(protocols_.readiness_path, ready);
     follower_.Start();
     orders_.Start();
-    cache_store_.Start();
     PeerLinks::Handlers handlers;
     handlers.on_rollout = [this](const RolloutMap& it) { OnRollout(it); };
     handlers.on_rules = [this](std::string_view text) {
--- a/gateway/src/rules.cc
+++ b/gateway/src/rules.cc
@@ -71,6 +71,19 @@
   return nullptr;
 }
 
+std::vector<runtime::Endpoint> CacheStores(const Rules* rules) {
+  std::vector<runtime::Endpoint> stores;
+  if (rules == nullptr) {
+    return stores;
+  }
+  for (const Service& service : rules->services()) {
+    if (service.cache_store) {
+      stores.push_back(*service.cache_store);
+    }
+  }
+  return stores;
+}
+
 const std::string* ChooseService(const Route& route, std::string_view request) {
   double total = 0;
   for (const ServiceShare& it : route.shares) {
--- a/gateway/src/server_book.cc
+++ b/gateway/src/server_book.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <set>
 #include <unordered_set>
 #include <utility>
 
@@ -29,6 +30,12 @@
 // Bringing a cached token from the cache store, whose link carries some 33
 // Gbit/s for tokens of 18 KB.
 constexpr double kFetchCostMsPerToken = 0.005;
+// Bringing a cached token from another server, whose link carries some 130
+// Gbit/s for tokens of 18 KB; twice as long from another data centre.
+constexpr double kCopyMsPerToken = 0.0012;
+// A server that used a part within this time is taken to hold it still, also
+// when running requests need much of its memory.
+constexpr seconds kSurelyHeld{3};
 // Prompts that share less than this are placed by load alone.
 constexpr std::int64_t kLeastSharedTokens = 1024;
 // A part saved this recently is taken to be in the cache store, which tells
@@ -54,8 +61,9 @@
 constexpr double kAwayCostMs = 40;
 // A load figure older than this says nothing of the present.
 constexpr milliseconds kLoadAge{1500};
-// What another gateway told is repeated within this time while it holds.
-constexpr milliseconds kPeerUseAge{800};
+// What another gateway told is repeated within a third of this time while it
+// holds.
+constexpr milliseconds kPeerUseAge{1800};
 // Failures in a row before a server is left alone.
 constexpr int kFailuresToDistrust = 3;
 constexpr milliseconds kFirstDistrust{500};
@@ -94,6 +102,7 @@
   std::map<std::string, std::int64_t> learned;  // Weights by model, as told.
   std::optional<TimePoint> switching_since;
   PartMemory parts;
+  TimePoint copying_until{};  // Its link, with the copies that we asked for.
 
   bool Switching(TimePoint now) const {
     return switching_since && now - *switching_since < kSwitchTimeout;
@@ -180,6 +189,10 @@
   bool unsure = false;       // Shared parts may not be there.
 };
 
+double ToMs(coordination::Duration time) {
+  return std::chrono::duration<double, std::milli>(time).count();
+}
+
 // Parts are told apart by the scope within which they are shared.
 std::string PartKey(std::string_view scope, std::string_view id) {
   std::string key(scope);
@@ -199,13 +212,13 @@
   std::map<std::string, std::vector<Server*>, std::less<>> by_service;
   std::shared_ptr<const Rules> rules;
   std::shared_ptr<const WeightsTargets> targets;
-  std::optional<runtime::Endpoint> cache_store;
+  std::vector<runtime::Endpoint> cache_stores;
   // When each of the last versions was named, by model.
   std::map<std::string, std::map<std::int64_t, TimePoint>, std::less<>>
       named_at;
   std::vector<SentPrompt> sent;  // Not told to others yet.
   Millis old_weights_limit{0};
-  bool cache_store_up = false;
+  std::set<std::string> stores_up;         // By address.
   std::unordered_set<std::string> stored;  // Keys with scope and version.
   PartMemory saved{kSavedParts};
 
@@ -336,6 +349,55 @@
     return score;
   }
 
+  // The cache store for a prefix: all gateways prefer the same one, so that
+  // each store's memory and link carry their part.
+  const runtime::Endpoint* StoreFor(std::string_view anchor) const {
+    const runtime::Endpoint* store = nullptr;
+    std::uint64_t best = 0;
+    for (const runtime::Endpoint& it : cache_stores) {
+      const std::uint64_t hash = Hash(anchor, runtime::ToString(it));
+      if (store == nullptr || hash > best) {
+        store = &it;
+        best = hash;
+      }
+    }
+    const bool up =
+        store != nullptr && stores_up.contains(runtime::ToString(*store));
+    return up ? store : nullptr;
+  }
+
+  // Another server that surely holds the prompt's shared parts under the same
+  // weights. Answers the load of prefixes that many servers need at once: the
+  // servers' own links carry them.
+  const Server* HolderFor(const Server& target,
+                          const Need& need,
+                          const Prompt& prompt,
+                          TimePoint now) const {
+    const std::uint64_t anchor = HashOf(prompt.anchor);
+    const auto version = target.Version(need.model);
+    const Server* holder = nullptr;
+    double least = 0;
+    for (const Server* it : Of(need.service)) {
+      const bool held = it->parts.Has(anchor) &&
+                        now - it->parts.LastUse(anchor) <= kSurelyHeld;
+      if (it == &target || !held || !Trusted(*it, now) || it->Switching(now) ||
+          it->Version(need.model) != version) {
+        continue;
+      }
+      const double zones =
+          it->about.data_centre == target.about.data_centre ? 1 : 2;
+      const double wait =
+          ToMs(std::max(coordination::Duration{}, it->copying_until - now));
+      const double cost = wait + zones * kCopyMsPerToken *
+                                     static_cast<double>(prompt.shared_tokens);
+      if (holder == nullptr || cost < least) {
+        holder = it;
+        least = cost;
+      }
+    }
+    return holder;
+  }
+
   Placement MakePlacement(const Scored& score,
                           const Need& need,
                           const Prompt& prompt,
@@ -351,21 +413,28 @@
     }
     place.model = need.model;
     place.weights_version = it.Version(need.model);
-    if (prompt.anchor.empty() || !cache_store || !cache_store_up ||
-        !place.weights_version) {
+    if (prompt.anchor.empty() || !place.weights_version) {
       return place;
     }
+    const runtime::Endpoint* store = StoreFor(prompt.anchor);
     place.saved_key =
         "v" + std::to_string(*place.weights_version) + "/" + prompt.anchor;
     const bool just_saved =
         now - saved.LastUse(HashOf(place.saved_key)) < kSavedFor;
-    if (!just_saved && !stored.contains(place.saved_key)) {
-      place.save_to = cache_store;
+    if (store != nullptr && !just_saved && !stored.contains(place.saved_key)) {
+      place.save_to = *store;
     }
-    // The store's link is shared by all, so only what the server is not known
-    // to have is looked for there.
+    // Links are shared by all, so only what the server is not known to have is
+    // looked for elsewhere.
     if (score.unsure) {
-      place.fetch_from = cache_store;
+      const Server* holder = HolderFor(it, need, prompt, now);
+      if (holder != nullptr) {
+        place.fetch_from = holder->about.address;
+        place.copied_from = holder->about.id;
+      } else if (store != nullptr) {
+        place.fetch_from = *store;
+      }
+      place.copied_tokens = prompt.shared_tokens;
     }
     return place;
   }
@@ -382,14 +451,7 @@
   Contents& it = *contents_;
   const bool first = !it.rules;
   it.rules = view.rules;
-  it.cache_store.reset();
-  if (view.rules) {
-    for (const Service& service : view.rules->services()) {
-      if (service.cache_store) {
-        it.cache_store = service.cache_store;
-      }
-    }
-  }
+  it.cache_stores = CacheStores(view.rules.get());
   const Millis before_start =
       std::max(Millis(0), it.old_weights_limit - kOldWeightsAtStart);
   if (view.weights) {
@@ -522,6 +584,15 @@
   if (!sent.parts.empty() && contents_->sent.size() < kMostSent) {
     contents_->sent.push_back(std::move(sent));
   }
+  auto holder = contents_->servers.find(placement.copied_from);
+  if (holder != contents_->servers.end()) {
+    TimePoint& until = holder->second.copying_until;
+    until = std::max(until, now) +
+            std::chrono::duration_cast<coordination::Duration>(
+                std::chrono::duration<double, std::milli>(
+                    kCopyMsPerToken *
+                    static_cast<double>(placement.copied_tokens)));
+  }
   if (placement.save_to) {
     contents_->saved.Touch(HashOf(placement.saved_key), 1, now);
   }
@@ -582,8 +653,14 @@
 
 void ServerBook::OnCacheStore(const CacheStoreNews& news) {
   Contents& it = *contents_;
-  it.cache_store_up = news.reachable;
+  const std::string address = runtime::ToString(news.store);
+  if (news.reachable) {
+    it.stores_up.insert(address);
+  } else {
+    it.stores_up.erase(address);
+  }
   if (news.emptied) {
+    // What other stores hold is saved there again, once.
     it.stored.clear();
     it.saved.Clear();
   }
@@ -626,9 +703,15 @@
 
 void ServerBook::OnPeerUse(std::string_view peer,
                            std::span<const ServerUse> uses,
+                           bool whole,
                            TimePoint now) {
-  for (auto& [id, it] : contents_->servers) {
-    it.peers.erase(std::string(peer));
+  if (whole) {
+    for (auto& [id, it] : contents_->servers) {
+      auto told = it.peers.find(peer);
+      if (told != it.peers.end()) {
+        it.peers.erase(told);
+      }
+    }
   }
   for (const ServerUse& use : uses) {
     auto found = contents_->servers.find(use.server_id);
--- a/gateway/src/use_exchange.cc
+++ b/gateway/src/use_exchange.cc
@@ -1,5 +1,6 @@
 #include "use_exchange.h"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <utility>
@@ -19,9 +20,13 @@
 using boost::system::error_code;
 
 // Changes within this time leave in one datagram.
-constexpr std::chrono::milliseconds kGather{4};
-// What holds is told again, since datagrams are lost.
-constexpr std::chrono::milliseconds kRepeat{300};
+constexpr std::chrono::milliseconds kLeastGather{4};
+// The most datagrams that a gateway sends in a second, so that a small
+// instance's processor and link are left to its callers: with more peers,
+// changes are gathered for longer.
+constexpr std::size_t kMostDatagramsPerSecond = 400;
+// All that holds is told again, since datagrams are lost.
+constexpr std::chrono::milliseconds kRepeat{600};
 // The most gateways that are told; a fleet of hundreds tells its neighbours.
 constexpr std::size_t kMostPeers = 32;
 constexpr std::size_t kDatagramBytes = 64 << 10;
@@ -49,9 +54,10 @@
   std::int64_t incarnation;
   std::int64_t sequence = 0;
   std::vector<udp::endpoint> peers;
-  std::vector<ServerUse> told;
-  bool pending = false;    // A change waits to be told.
-  bool repeating = false;  // The timer runs.
+  std::map<std::string, ServerUse>
+      told;              // What the peers were told, by server.
+  TimePoint whole_at{};  // When they were told all of it.
+  bool pending = false;  // A change waits to be told.
   std::vector<char> buf = std::vector<char>(kDatagramBytes);
   udp::endpoint sender;
   struct Last {
@@ -60,8 +66,13 @@
   };
   std::map<std::string, Last> last;  // By peer.
 
+  std::chrono::milliseconds Gather() const {
+    const std::chrono::milliseconds paced(1000 * peers.size() /
+                                          kMostDatagramsPerSecond);
+    return std::max(kLeastGather, paced);
+  }
+
   void Schedule(std::chrono::milliseconds after) {
-    repeating = true;
     timer.expires_after(after);
     timer.async_wait([self = shared_from_this()](const error_code& ec) {
       if (!ec) {
@@ -73,18 +84,39 @@
   void OnChange() {
     if (!pending && !peers.empty()) {
       pending = true;
-      Schedule(kGather);
+      Schedule(Gather());
+    }
+  }
+
+  // What differs from what the peers were told, or all that holds.
+  std::vector<ServerUse> Changes(bool whole) {
+    std::map<std::string, ServerUse> present;
+    std::vector<ServerUse> changes;
+    for (ServerUse& it : book.OwnUse()) {
+      const auto known = told.find(it.server_id);
+      if (whole || known == told.end() || !(known->second == it)) {
+        changes.push_back(it);
+      }
+      present[it.server_id] = std::move(it);
+    }
+    for (const auto& [id, it] : told) {
+      if (!whole && !present.contains(id)) {
+        changes.push_back({id, 0, 0});
+      }
     }
+    told = std::move(present);
+    return changes;
   }
 
   void Tell() {
     pending = false;
-    repeating = false;
-    std::vector<ServerUse> uses = book.OwnUse();
+    const TimePoint now = clock.Now();
+    const bool was_idle = told.empty();
     wire::UseNotice notice;
+    notice.whole = now - whole_at >= kRepeat;
     notice.incarnation = incarnation;
     notice.sequence = ++sequence;
-    for (const ServerUse& it : uses) {
+    for (const ServerUse& it : Changes(notice.whole)) {
       wire::ServerUse use;
       use.id = it.server_id;
       use.in_flight = it.in_flight;
@@ -98,14 +130,13 @@
       prompt.tokens = std::move(it.tokens);
       notice.prompts.push_back(std::move(prompt));
     }
+    whole_at = notice.whole ? now : whole_at;
     const std::string bytes = wire::EncodeStruct(notice);
     for (const udp::endpoint& it : peers) {
       error_code ignored;  // A lost notice is repeated.
       socket.send_to(asio::buffer(bytes), it, 0, ignored);
     }
-    const bool idle = uses.empty() && told.empty();
-    told = std::move(uses);
-    if (!idle) {
+    if (!was_idle || !told.empty()) {
       Schedule(kRepeat);
     }
   }
@@ -140,7 +171,7 @@
     for (const wire::ServerUse& use : it.uses) {
       uses.push_back({use.id, use.in_flight, use.unread_tokens});
     }
-    book.OnPeerUse(peer, uses, clock.Now());
+    book.OnPeerUse(peer, uses, it.whole, clock.Now());
     std::vector<SentPrompt> prompts;
     for (const wire::SentPrompt& prompt : it.prompts) {
       prompts.push_back({prompt.server,
--- a/gateway/tests/correctness/server_book_test.cc
+++ b/gateway/tests/correctness/server_book_test.cc
@@ -15,6 +15,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+const runtime::Endpoint kStore{"10.0.0.99", 80};
+
 constexpr int kServers = 9;
 
 // Nine engines and three plain servers, as one gateway sees them.
@@ -28,7 +30,7 @@
     engines.engine = Engine{64, 100'000};
     Service store;
     store.name = "store";
-    store.cache_store = runtime::Endpoint{"10.0.0.99", 80};
+    store.cache_store = kStore;
     text.services = {engines, Service{"plain", 0, {}, {}}, store};
     view_.rules = std::make_shared<Rules>(std::move(text));
     for (int i = 0; i < kServers; ++i) {
@@ -41,7 +43,7 @@
         std::make_shared<WeightsTargets>(WeightsTargets{{"model", 1}});
     Show();
     now_ += seconds(60);
-    book_.OnCacheStore({true, false, {}});
+    book_.OnCacheStore({kStore, true, false, {}});
   }
 
   void Add(const std::string& id, const std::string& service, int host) {
@@ -124,7 +126,7 @@
   {
     SCOPED_TRACE("others have long prompts there: the request goes elsewhere");
     const std::vector<ServerUse> uses = {{home, 5, 40'000}};
-    book_.OnPeerUse("gateway-b", uses, now_);
+    book_.OnPeerUse("gateway-b", uses, true, now_);
     EXPECT_NE(book_.Place(Long("sheet"), now_)->server_id, home);
   }
   {
@@ -161,11 +163,89 @@
   }
   {
     SCOPED_TRACE("a store that is down is left alone");
-    book_.OnCacheStore({false, false, {}});
+    book_.OnCacheStore({kStore, false, false, {}});
     EXPECT_FALSE(book_.Place(need, now_)->fetch_from);
   }
 }
 
+TEST_F(Book, CopiesAHotPrefixFromAServerThatHoldsIt) {
+  const Need need = Long("hot");
+  const std::string home = PlaceAndSend(need);
+  std::optional<Placement> away;
+  for (int i = 0; i < 30 && !away; ++i) {
+    auto place = book_.Place(need, now_);
+    book_.OnDispatch(*place, need, now_);
+    if (place->server_id != home) {
+      away = place;
+    }
+  }
+  ASSERT_TRUE(away);
+  {
+    SCOPED_TRACE(
+        "the home holds it: its link brings it, not the cache store's");
+    EXPECT_EQ(away->fetch_from, servers_[home].address);
+    EXPECT_EQ(away->copied_from, home);
+  }
+  {
+    SCOPED_TRACE("both hold it now: the next copies are shared out");
+    std::set<std::string> sources;
+    for (int i = 0; i < 60; ++i) {
+      auto place = book_.Place(need, now_);
+      book_.OnDispatch(*place, need, now_);
+      if (place->fetch_from) {
+        sources.insert(place->copied_from);
+      }
+    }
+    EXPECT_GE(sources.size(), 2U);
+  }
+  {
+    SCOPED_TRACE("not used for a while: it may be evicted, the store is asked");
+    now_ += seconds(4);
+    avoided_.clear();
+    for (const auto& [id, server] : servers_) {
+      if (server.service == "engines" && id != away->server_id) {
+        avoided_.push_back(id);
+      }
+    }
+    servers_[away->server_id].born_ms = 7;  // Started again, empty.
+    Show();
+    const auto place = book_.Place(Long("hot"), now_);
+    ASSERT_TRUE(place);
+    EXPECT_EQ(place->fetch_from, kStore);
+  }
+}
+
+TEST_F(Book, CopiesNothingFromServersWithOtherWeights) {
+  const Need need = Long("sheet");
+  const std::string home = PlaceAndSend(need);
+  NameWeights(2);
+  for (auto& [id, server] : servers_) {
+    if (id != home && server.service == "engines") {
+      server.weights["model"] = 2;
+    }
+  }
+  now_ += seconds(2);
+  Show();
+  const auto place = book_.Place(need, now_);
+  ASSERT_NE(place->server_id, home);
+  EXPECT_EQ(place->fetch_from, kStore);
+}
+
+TEST_F(Book, TakesWhatAnotherGatewayToldToHaveChanged) {
+  const std::string home = book_.Place(Long("sheet"), now_)->server_id;
+  const std::vector<ServerUse> all = {{home, 5, 40'000}, {"engine-x", 1, 0}};
+  book_.OnPeerUse("gateway-b", all, true, now_);
+  const std::vector<ServerUse> other = {{"engine-x", 2, 0}};
+  book_.OnPeerUse("gateway-b", other, false, now_);
+  {
+    SCOPED_TRACE("what a partial notice does not name still holds");
+    EXPECT_NE(book_.Place(Long("sheet"), now_)->server_id, home);
+  }
+  const std::vector<ServerUse> ended = {{home, 0, 0}};
+  book_.OnPeerUse("gateway-b", ended, false, now_);
+  EXPECT_EQ(book_.Place(Long("sheet"), now_)->server_id, home);
+}
+
 TEST_F(Book, SharesNothingBetweenScopesOrVersions) {
   const Need open = Long("sheet");
   book_.OnDispatch(*book_.Place(open, now_), open, now_);
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -6980,6 +6980,10 @@
 void UseNotice::__set_prompts(const std::vector<SentPrompt> & val) {
   this->prompts = val;
 }
+
+void UseNotice::__set_whole(const bool val) {
+  this->whole = val;
+}
 std::ostream& operator<<(std::ostream& out, const UseNotice& obj)
 {
   obj.printTo(out);
@@ -7064,6 +7068,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7113,6 +7125,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7124,6 +7140,7 @@
   swap(a.sequence, b.sequence);
   swap(a.uses, b.uses);
   swap(a.prompts, b.prompts);
+  swap(a.whole, b.whole);
   swap(a.__isset, b.__isset);
 }
 
@@ -7132,6 +7149,7 @@
   sequence = other227.sequence;
   uses = other227.uses;
   prompts = other227.prompts;
+  whole = other227.whole;
   __isset = other227.__isset;
 }
 UseNotice::UseNotice(UseNotice&& other228) noexcept {
@@ -7139,6 +7157,7 @@
   sequence = other228.sequence;
   uses = std::move(other228.uses);
   prompts = std::move(other228.prompts);
+  whole = other228.whole;
   __isset = other228.__isset;
 }
 UseNotice& UseNotice::operator=(const UseNotice& other229) {
@@ -7146,6 +7165,7 @@
   sequence = other229.sequence;
   uses = other229.uses;
   prompts = other229.prompts;
+  whole = other229.whole;
   __isset = other229.__isset;
   return *this;
 }
@@ -7154,6 +7174,7 @@
   sequence = other230.sequence;
   uses = std::move(other230.uses);
   prompts = std::move(other230.prompts);
+  whole = other230.whole;
   __isset = other230.__isset;
   return *this;
 }
@@ -7164,6 +7185,7 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "uses=" << to_string(uses);
   out << ", " << "prompts=" << to_string(prompts);
+  out << ", " << "whole=" << to_string(whole);
   out << ")";
 }
 
@@ -7291,49 +7313,33 @@
 }
 
 
-ClaimRecord::~ClaimRecord() noexcept {
-}
-
-
-void ClaimRecord::__set_attempt_token(const Id& val) {
-  this->attempt_token = val;
-}
-
-void ClaimRecord::__set_agent(const std::string& val) {
-  this->agent = val;
-}
-
-void ClaimRecord::__set_body_digest(const std::string& val) {
-  this->body_digest = val;
+RowCopy::~RowCopy() noexcept {
 }
 
-void ClaimRecord::__set_state(const ClaimState::type val) {
-  this->state = val;
-}
 
-void ClaimRecord::__set_status(const int32_t val) {
-  this->status = val;
+void RowCopy::__set_key(const std::string& val) {
+  this->key = val;
 }
 
-void ClaimRecord::__set_content_type(const std::string& val) {
-  this->content_type = val;
+void RowCopy::__set_value(const std::string& val) {
+  this->value = val;
 }
 
-void ClaimRecord::__set_body(const std::string& val) {
-  this->body = val;
+void RowCopy::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void ClaimRecord::__set_at_ms(const int64_t val) {
-  this->at_ms = val;
+void RowCopy::__set_removed(const bool val) {
+  this->removed = val;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimRecord& obj)
+std::ostream& operator<<(std::ostream& out, const RowCopy& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RowCopy::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7355,67 +7361,212 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->attempt_token.read(iprot);
-          this->__isset.attempt_token = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->agent);
-          this->__isset.agent = true;
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->body_digest);
-          this->__isset.body_digest = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast235;
-          xfer += iprot->readI32(ecast235);
-          this->state = static_cast<ClaimState::type>(ecast235);
-          this->__isset.state = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          this->__isset.removed = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->status);
-          this->__isset.status = true;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RowCopy::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RowCopy");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RowCopy &a, RowCopy &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.version, b.version);
+  swap(a.removed, b.removed);
+  swap(a.__isset, b.__isset);
+}
+
+RowCopy::RowCopy(const RowCopy& other235) {
+  key = other235.key;
+  value = other235.value;
+  version = other235.version;
+  removed = other235.removed;
+  __isset = other235.__isset;
+}
+RowCopy::RowCopy(RowCopy&& other236) noexcept {
+  key = std::move(other236.key);
+  value = std::move(other236.value);
+  version = other236.version;
+  removed = other236.removed;
+  __isset = other236.__isset;
+}
+RowCopy& RowCopy::operator=(const RowCopy& other237) {
+  key = other237.key;
+  value = other237.value;
+  version = other237.version;
+  removed = other237.removed;
+  __isset = other237.__isset;
+  return *this;
+}
+RowCopy& RowCopy::operator=(RowCopy&& other238) noexcept {
+  key = std::move(other238.key);
+  value = std::move(other238.value);
+  version = other238.version;
+  removed = other238.removed;
+  __isset = other238.__isset;
+  return *this;
+}
+void RowCopy::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RowCopy(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "removed=" << to_string(removed);
+  out << ")";
+}
+
+
+TableCopy::~TableCopy() noexcept {
+}
+
+
+void TableCopy::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void TableCopy::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void TableCopy::__set_whole(const bool val) {
+  this->whole = val;
+}
+
+void TableCopy::__set_rows(const std::vector<RowCopy> & val) {
+  this->rows = val;
+}
+std::ostream& operator<<(std::ostream& out, const TableCopy& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TableCopy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->content_type);
-          this->__isset.content_type = true;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->body);
-          this->__isset.body = true;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->at_ms);
-          this->__isset.at_ms = true;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size239;
+            ::apache::thrift::protocol::TType _etype242;
+            xfer += iprot->readListBegin(_etype242, _size239);
+            this->rows.resize(_size239);
+            uint32_t _i243;
+            for (_i243 = 0; _i243 < _size239; ++_i243)
+            {
+              xfer += this->rows[_i243].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7432,41 +7583,33 @@
   return xfer;
 }
 
-uint32_t ClaimRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TableCopy::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimRecord");
-
-  xfer += oprot->writeFieldBegin("attempt_token", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->attempt_token.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("agent", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->agent);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("body_digest", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->body_digest);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("TableCopy");
 
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("content_type", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->content_type);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 7);
-  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->whole);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("at_ms", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->at_ms);
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<RowCopy> ::const_iterator _iter244;
+    for (_iter244 = this->rows.begin(); _iter244 != this->rows.end(); ++_iter244)
+    {
+      xfer += (*_iter244).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7474,63 +7617,705 @@
   return xfer;
 }
 
-void swap(ClaimRecord &a, ClaimRecord &b) {
+void swap(TableCopy &a, TableCopy &b) {
   using ::std::swap;
-  swap(a.attempt_token, b.attempt_token);
-  swap(a.agent, b.agent);
-  swap(a.body_digest, b.body_digest);
-  swap(a.state, b.state);
-  swap(a.status, b.status);
-  swap(a.content_type, b.content_type);
-  swap(a.body, b.body);
-  swap(a.at_ms, b.at_ms);
+  swap(a.name, b.name);
+  swap(a.version, b.version);
+  swap(a.whole, b.whole);
+  swap(a.rows, b.rows);
   swap(a.__isset, b.__isset);
 }
 
-ClaimRecord::ClaimRecord(const ClaimRecord& other236) {
-  attempt_token = other236.attempt_token;
-  agent = other236.agent;
-  body_digest = other236.body_digest;
-  state = other236.state;
-  status = other236.status;
-  content_type = other236.content_type;
-  body = other236.body;
-  at_ms = other236.at_ms;
-  __isset = other236.__isset;
+TableCopy::TableCopy(const TableCopy& other245) {
+  name = other245.name;
+  version = other245.version;
+  whole = other245.whole;
+  rows = other245.rows;
+  __isset = other245.__isset;
+}
+TableCopy::TableCopy(TableCopy&& other246) noexcept {
+  name = std::move(other246.name);
+  version = other246.version;
+  whole = other246.whole;
+  rows = std::move(other246.rows);
+  __isset = other246.__isset;
+}
+TableCopy& TableCopy::operator=(const TableCopy& other247) {
+  name = other247.name;
+  version = other247.version;
+  whole = other247.whole;
+  rows = other247.rows;
+  __isset = other247.__isset;
+  return *this;
 }
-ClaimRecord::ClaimRecord(ClaimRecord&& other237) noexcept {
-  attempt_token = std::move(other237.attempt_token);
-  agent = std::move(other237.agent);
-  body_digest = std::move(other237.body_digest);
-  state = other237.state;
-  status = other237.status;
-  content_type = std::move(other237.content_type);
-  body = std::move(other237.body);
-  at_ms = other237.at_ms;
-  __isset = other237.__isset;
+TableCopy& TableCopy::operator=(TableCopy&& other248) noexcept {
+  name = std::move(other248.name);
+  version = other248.version;
+  whole = other248.whole;
+  rows = std::move(other248.rows);
+  __isset = other248.__isset;
+  return *this;
 }
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other238) {
-  attempt_token = other238.attempt_token;
-  agent = other238.agent;
-  body_digest = other238.body_digest;
-  state = other238.state;
-  status = other238.status;
-  content_type = other238.content_type;
-  body = other238.body;
-  at_ms = other238.at_ms;
-  __isset = other238.__isset;
+void TableCopy::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TableCopy(";
+  out << "name=" << to_string(name);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "whole=" << to_string(whole);
+  out << ", " << "rows=" << to_string(rows);
+  out << ")";
+}
+
+
+FeedCopy::~FeedCopy() noexcept {
+}
+
+
+void FeedCopy::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void FeedCopy::__set_tables(const std::vector<TableCopy> & val) {
+  this->tables = val;
+}
+std::ostream& operator<<(std::ostream& out, const FeedCopy& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FeedCopy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tables.clear();
+            uint32_t _size249;
+            ::apache::thrift::protocol::TType _etype252;
+            xfer += iprot->readListBegin(_etype252, _size249);
+            this->tables.resize(_size249);
+            uint32_t _i253;
+            for (_i253 = 0; _i253 < _size249; ++_i253)
+            {
+              xfer += this->tables[_i253].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tables = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FeedCopy::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FeedCopy");
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
+    std::vector<TableCopy> ::const_iterator _iter254;
+    for (_iter254 = this->tables.begin(); _iter254 != this->tables.end(); ++_iter254)
+    {
+      xfer += (*_iter254).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FeedCopy &a, FeedCopy &b) {
+  using ::std::swap;
+  swap(a.age_ms, b.age_ms);
+  swap(a.tables, b.tables);
+  swap(a.__isset, b.__isset);
+}
+
+FeedCopy::FeedCopy(const FeedCopy& other255) {
+  age_ms = other255.age_ms;
+  tables = other255.tables;
+  __isset = other255.__isset;
+}
+FeedCopy::FeedCopy(FeedCopy&& other256) noexcept {
+  age_ms = other256.age_ms;
+  tables = std::move(other256.tables);
+  __isset = other256.__isset;
+}
+FeedCopy& FeedCopy::operator=(const FeedCopy& other257) {
+  age_ms = other257.age_ms;
+  tables = other257.tables;
+  __isset = other257.__isset;
+  return *this;
+}
+FeedCopy& FeedCopy::operator=(FeedCopy&& other258) noexcept {
+  age_ms = other258.age_ms;
+  tables = std::move(other258.tables);
+  __isset = other258.__isset;
+  return *this;
+}
+void FeedCopy::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FeedCopy(";
+  out << "age_ms=" << to_string(age_ms);
+  out << ", " << "tables=" << to_string(tables);
+  out << ")";
+}
+
+
+TableMark::~TableMark() noexcept {
+}
+
+
+void TableMark::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void TableMark::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const TableMark& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TableMark::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TableMark::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TableMark");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TableMark &a, TableMark &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+TableMark::TableMark(const TableMark& other259) {
+  name = other259.name;
+  version = other259.version;
+  __isset = other259.__isset;
+}
+TableMark::TableMark(TableMark&& other260) noexcept {
+  name = std::move(other260.name);
+  version = other260.version;
+  __isset = other260.__isset;
+}
+TableMark& TableMark::operator=(const TableMark& other261) {
+  name = other261.name;
+  version = other261.version;
+  __isset = other261.__isset;
+  return *this;
+}
+TableMark& TableMark::operator=(TableMark&& other262) noexcept {
+  name = std::move(other262.name);
+  version = other262.version;
+  __isset = other262.__isset;
+  return *this;
+}
+void TableMark::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TableMark(";
+  out << "name=" << to_string(name);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+FeedQuery::~FeedQuery() noexcept {
+}
+
+
+void FeedQuery::__set_wait_ms(const int64_t val) {
+  this->wait_ms = val;
+}
+
+void FeedQuery::__set_tables(const std::vector<TableMark> & val) {
+  this->tables = val;
+}
+std::ostream& operator<<(std::ostream& out, const FeedQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FeedQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wait_ms);
+          this->__isset.wait_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tables.clear();
+            uint32_t _size263;
+            ::apache::thrift::protocol::TType _etype266;
+            xfer += iprot->readListBegin(_etype266, _size263);
+            this->tables.resize(_size263);
+            uint32_t _i267;
+            for (_i267 = 0; _i267 < _size263; ++_i267)
+            {
+              xfer += this->tables[_i267].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tables = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FeedQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FeedQuery");
+
+  xfer += oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->wait_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
+    std::vector<TableMark> ::const_iterator _iter268;
+    for (_iter268 = this->tables.begin(); _iter268 != this->tables.end(); ++_iter268)
+    {
+      xfer += (*_iter268).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FeedQuery &a, FeedQuery &b) {
+  using ::std::swap;
+  swap(a.wait_ms, b.wait_ms);
+  swap(a.tables, b.tables);
+  swap(a.__isset, b.__isset);
+}
+
+FeedQuery::FeedQuery(const FeedQuery& other269) {
+  wait_ms = other269.wait_ms;
+  tables = other269.tables;
+  __isset = other269.__isset;
+}
+FeedQuery::FeedQuery(FeedQuery&& other270) noexcept {
+  wait_ms = other270.wait_ms;
+  tables = std::move(other270.tables);
+  __isset = other270.__isset;
+}
+FeedQuery& FeedQuery::operator=(const FeedQuery& other271) {
+  wait_ms = other271.wait_ms;
+  tables = other271.tables;
+  __isset = other271.__isset;
+  return *this;
+}
+FeedQuery& FeedQuery::operator=(FeedQuery&& other272) noexcept {
+  wait_ms = other272.wait_ms;
+  tables = std::move(other272.tables);
+  __isset = other272.__isset;
+  return *this;
+}
+void FeedQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FeedQuery(";
+  out << "wait_ms=" << to_string(wait_ms);
+  out << ", " << "tables=" << to_string(tables);
+  out << ")";
+}
+
+
+ClaimRecord::~ClaimRecord() noexcept {
+}
+
+
+void ClaimRecord::__set_attempt_token(const Id& val) {
+  this->attempt_token = val;
+}
+
+void ClaimRecord::__set_agent(const std::string& val) {
+  this->agent = val;
+}
+
+void ClaimRecord::__set_body_digest(const std::string& val) {
+  this->body_digest = val;
+}
+
+void ClaimRecord::__set_state(const ClaimState::type val) {
+  this->state = val;
+}
+
+void ClaimRecord::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void ClaimRecord::__set_content_type(const std::string& val) {
+  this->content_type = val;
+}
+
+void ClaimRecord::__set_body(const std::string& val) {
+  this->body = val;
+}
+
+void ClaimRecord::__set_at_ms(const int64_t val) {
+  this->at_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ClaimRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->attempt_token.read(iprot);
+          this->__isset.attempt_token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->agent);
+          this->__isset.agent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->body_digest);
+          this->__isset.body_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast273;
+          xfer += iprot->readI32(ecast273);
+          this->state = static_cast<ClaimState::type>(ecast273);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->content_type);
+          this->__isset.content_type = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->at_ms);
+          this->__isset.at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ClaimRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ClaimRecord");
+
+  xfer += oprot->writeFieldBegin("attempt_token", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->attempt_token.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("agent", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->agent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body_digest", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->body_digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content_type", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->content_type);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("at_ms", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->at_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ClaimRecord &a, ClaimRecord &b) {
+  using ::std::swap;
+  swap(a.attempt_token, b.attempt_token);
+  swap(a.agent, b.agent);
+  swap(a.body_digest, b.body_digest);
+  swap(a.state, b.state);
+  swap(a.status, b.status);
+  swap(a.content_type, b.content_type);
+  swap(a.body, b.body);
+  swap(a.at_ms, b.at_ms);
+  swap(a.__isset, b.__isset);
+}
+
+ClaimRecord::ClaimRecord(const ClaimRecord& other274) {
+  attempt_token = other274.attempt_token;
+  agent = other274.agent;
+  body_digest = other274.body_digest;
+  state = other274.state;
+  status = other274.status;
+  content_type = other274.content_type;
+  body = other274.body;
+  at_ms = other274.at_ms;
+  __isset = other274.__isset;
+}
+ClaimRecord::ClaimRecord(ClaimRecord&& other275) noexcept {
+  attempt_token = std::move(other275.attempt_token);
+  agent = std::move(other275.agent);
+  body_digest = std::move(other275.body_digest);
+  state = other275.state;
+  status = other275.status;
+  content_type = std::move(other275.content_type);
+  body = std::move(other275.body);
+  at_ms = other275.at_ms;
+  __isset = other275.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other276) {
+  attempt_token = other276.attempt_token;
+  agent = other276.agent;
+  body_digest = other276.body_digest;
+  state = other276.state;
+  status = other276.status;
+  content_type = other276.content_type;
+  body = other276.body;
+  at_ms = other276.at_ms;
+  __isset = other276.__isset;
   return *this;
 }
-ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other239) noexcept {
-  attempt_token = std::move(other239.attempt_token);
-  agent = std::move(other239.agent);
-  body_digest = std::move(other239.body_digest);
-  state = other239.state;
-  status = other239.status;
-  content_type = std::move(other239.content_type);
-  body = std::move(other239.body);
-  at_ms = other239.at_ms;
-  __isset = other239.__isset;
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other277) noexcept {
+  attempt_token = std::move(other277.attempt_token);
+  agent = std::move(other277.agent);
+  body_digest = std::move(other277.body_digest);
+  state = other277.state;
+  status = other277.status;
+  content_type = std::move(other277.content_type);
+  body = std::move(other277.body);
+  at_ms = other277.at_ms;
+  __isset = other277.__isset;
   return *this;
 }
 void ClaimRecord::printTo(std::ostream& out) const {
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -202,6 +202,16 @@
 
 class RulesCopy;
 
+class RowCopy;
+
+class TableCopy;
+
+class FeedCopy;
+
+class TableMark;
+
+class FeedQuery;
+
 class ClaimRecord;
 
 typedef struct _Id__isset {
@@ -2671,11 +2681,12 @@
 std::ostream& operator<<(std::ostream& out, const SentPrompt& obj);
 
 typedef struct _UseNotice__isset {
-  _UseNotice__isset() : incarnation(false), sequence(false), uses(false), prompts(false) {}
+  _UseNotice__isset() : incarnation(false), sequence(false), uses(false), prompts(false), whole(false) {}
   bool incarnation :1;
   bool sequence :1;
   bool uses :1;
   bool prompts :1;
+  bool whole :1;
 } _UseNotice__isset;
 
 class UseNotice : public virtual ::apache::thrift::TBase {
@@ -2687,7 +2698,8 @@
   UseNotice& operator=(UseNotice&&) noexcept;
   UseNotice() noexcept
             : incarnation(0),
-              sequence(0) {
+              sequence(0),
+              whole(0) {
   }
 
   virtual ~UseNotice() noexcept;
@@ -2695,6 +2707,7 @@
   int64_t sequence;
   std::vector<ServerUse>  uses;
   std::vector<SentPrompt>  prompts;
+  bool whole;
 
   _UseNotice__isset __isset;
 
@@ -2706,6 +2719,8 @@
 
   void __set_prompts(const std::vector<SentPrompt> & val);
 
+  void __set_whole(const bool val);
+
   bool operator == (const UseNotice & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -2716,6 +2731,8 @@
       return false;
     if (!(prompts == rhs.prompts))
       return false;
+    if (!(whole == rhs.whole))
+      return false;
     return true;
   }
   bool operator != (const UseNotice &rhs) const {
@@ -2786,6 +2803,291 @@
 
 std::ostream& operator<<(std::ostream& out, const RulesCopy& obj);
 
+typedef struct _RowCopy__isset {
+  _RowCopy__isset() : key(false), value(false), version(false), removed(false) {}
+  bool key :1;
+  bool value :1;
+  bool version :1;
+  bool removed :1;
+} _RowCopy__isset;
+
+class RowCopy : public virtual ::apache::thrift::TBase {
+ public:
+
+  RowCopy(const RowCopy&);
+  RowCopy(RowCopy&&) noexcept;
+  RowCopy& operator=(const RowCopy&);
+  RowCopy& operator=(RowCopy&&) noexcept;
+  RowCopy() noexcept
+          : key(),
+            value(),
+            version(0),
+            removed(0) {
+  }
+
+  virtual ~RowCopy() noexcept;
+  std::string key;
+  std::string value;
+  int64_t version;
+  bool removed;
+
+  _RowCopy__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_removed(const bool val);
+
+  bool operator == (const RowCopy & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    return true;
+  }
+  bool operator != (const RowCopy &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RowCopy & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RowCopy &a, RowCopy &b);
+
+std::ostream& operator<<(std::ostream& out, const RowCopy& obj);
+
+typedef struct _TableCopy__isset {
+  _TableCopy__isset() : name(false), version(false), whole(false), rows(false) {}
+  bool name :1;
+  bool version :1;
+  bool whole :1;
+  bool rows :1;
+} _TableCopy__isset;
+
+class TableCopy : public virtual ::apache::thrift::TBase {
+ public:
+
+  TableCopy(const TableCopy&);
+  TableCopy(TableCopy&&) noexcept;
+  TableCopy& operator=(const TableCopy&);
+  TableCopy& operator=(TableCopy&&) noexcept;
+  TableCopy() noexcept
+            : name(),
+              version(0),
+              whole(0) {
+  }
+
+  virtual ~TableCopy() noexcept;
+  std::string name;
+  int64_t version;
+  bool whole;
+  std::vector<RowCopy>  rows;
+
+  _TableCopy__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_whole(const bool val);
+
+  void __set_rows(const std::vector<RowCopy> & val);
+
+  bool operator == (const TableCopy & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(whole == rhs.whole))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    return true;
+  }
+  bool operator != (const TableCopy &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TableCopy & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TableCopy &a, TableCopy &b);
+
+std::ostream& operator<<(std::ostream& out, const TableCopy& obj);
+
+typedef struct _FeedCopy__isset {
+  _FeedCopy__isset() : age_ms(false), tables(false) {}
+  bool age_ms :1;
+  bool tables :1;
+} _FeedCopy__isset;
+
+class FeedCopy : public virtual ::apache::thrift::TBase {
+ public:
+
+  FeedCopy(const FeedCopy&);
+  FeedCopy(FeedCopy&&) noexcept;
+  FeedCopy& operator=(const FeedCopy&);
+  FeedCopy& operator=(FeedCopy&&) noexcept;
+  FeedCopy() noexcept
+           : age_ms(0) {
+  }
+
+  virtual ~FeedCopy() noexcept;
+  int64_t age_ms;
+  std::vector<TableCopy>  tables;
+
+  _FeedCopy__isset __isset;
+
+  void __set_age_ms(const int64_t val);
+
+  void __set_tables(const std::vector<TableCopy> & val);
+
+  bool operator == (const FeedCopy & rhs) const
+  {
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(tables == rhs.tables))
+      return false;
+    return true;
+  }
+  bool operator != (const FeedCopy &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FeedCopy & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FeedCopy &a, FeedCopy &b);
+
+std::ostream& operator<<(std::ostream& out, const FeedCopy& obj);
+
+typedef struct _TableMark__isset {
+  _TableMark__isset() : name(false), version(false) {}
+  bool name :1;
+  bool version :1;
+} _TableMark__isset;
+
+class TableMark : public virtual ::apache::thrift::TBase {
+ public:
+
+  TableMark(const TableMark&);
+  TableMark(TableMark&&) noexcept;
+  TableMark& operator=(const TableMark&);
+  TableMark& operator=(TableMark&&) noexcept;
+  TableMark() noexcept
+            : name(),
+              version(0) {
+  }
+
+  virtual ~TableMark() noexcept;
+  std::string name;
+  int64_t version;
+
+  _TableMark__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const TableMark & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const TableMark &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TableMark & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TableMark &a, TableMark &b);
+
+std::ostream& operator<<(std::ostream& out, const TableMark& obj);
+
+typedef struct _FeedQuery__isset {
+  _FeedQuery__isset() : wait_ms(false), tables(false) {}
+  bool wait_ms :1;
+  bool tables :1;
+} _FeedQuery__isset;
+
+class FeedQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  FeedQuery(const FeedQuery&);
+  FeedQuery(FeedQuery&&) noexcept;
+  FeedQuery& operator=(const FeedQuery&);
+  FeedQuery& operator=(FeedQuery&&) noexcept;
+  FeedQuery() noexcept
+            : wait_ms(0) {
+  }
+
+  virtual ~FeedQuery() noexcept;
+  int64_t wait_ms;
+  std::vector<TableMark>  tables;
+
+  _FeedQuery__isset __isset;
+
+  void __set_wait_ms(const int64_t val);
+
+  void __set_tables(const std::vector<TableMark> & val);
+
+  bool operator == (const FeedQuery & rhs) const
+  {
+    if (!(wait_ms == rhs.wait_ms))
+      return false;
+    if (!(tables == rhs.tables))
+      return false;
+    return true;
+  }
+  bool operator != (const FeedQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FeedQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FeedQuery &a, FeedQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const FeedQuery& obj);
+
 typedef struct _ClaimRecord__isset {
   _ClaimRecord__isset() : attempt_token(false), agent(false), body_digest(false), state(false), status(false), content_type(false), body(false), at_ms(false) {}
   bool attempt_token :1;
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -179,15 +179,26 @@
   1: string id, 2: string model, 3: i64 version, 4: bool switching
 }
 struct RolloutNotice { 1: string instance, 2: list<RolloutServer> servers }
-// What a gateway has at the backend servers now; the newest sequence counts.
+// What a gateway has at the backend servers now; the newest sequence counts. A
+// notice that is not whole lists only what changed since the last one.
 struct ServerUse { 1: string id, 2: i32 in_flight, 3: i64 unread_tokens }
 // A prompt that was sent to a server: hashes of its parts, in order.
 struct SentPrompt { 1: string server, 2: list<i64> parts, 3: list<i32> tokens }
 struct UseNotice {
   1: i64 incarnation, 2: i64 sequence, 3: list<ServerUse> uses,
-  4: list<SentPrompt> prompts
+  4: list<SentPrompt> prompts, 5: bool whole
 }
 struct RulesCopy { 1: i64 version, 2: binary text }
+// Rows of the platform's store as one gateway knows them, for those that do
+// not read the store themselves. `age_ms`: how long ago the store confirmed them.
+struct RowCopy { 1: string key, 2: binary value, 3: i64 version, 4: bool removed }
+struct TableCopy {
+  1: string name, 2: i64 version, 3: bool whole, 4: list<RowCopy> rows
+}
+struct FeedCopy { 1: i64 age_ms, 2: list<TableCopy> tables }
+// The version of each table up to which the asker knows its rows; 0: nothing.
+struct TableMark { 1: string name, 2: i64 version }
+struct FeedQuery { 1: i64 wait_ms, 2: list<TableMark> tables }
 
 // A claim on an idempotency key, as kept in the platform's table. It is never
 // taken over: `attempt_token` names the only attempt that may run.
