gateway: one gateway of a data centre reads the store, the others ask it; few ask for the lease of orders

Ruled out: longer waits alone (a silent path must be noticed within the bound). Rules alone are no longer fetched from peers: the rows are. Tests: feed_plan, row_table, followers sharing one store that turns some away.

--- a/gateway/include/gateway/fleet_state.h
+++ b/gateway/include/gateway/fleet_state.h
@@ -40,8 +40,6 @@
   void OnServerRows(const StoredRows& rows, bool whole, TimePoint now);
   /** The store could not be reached, or was not at `now`. */
   void OnStoreLost(TimePoint now) { store_lost_at_ = now; }
-  /** Rules that a peer has; taken if they are newer. */
-  bool OnPeerRules(std::string_view value);
   /** The other gateways; all share the budgets. */
   void OnPeers(std::vector<runtime::Endpoint> peers);
   /** What an order giver told of servers' weights. */
@@ -55,8 +53,6 @@
   std::vector<RowFault> TakeFaults();
 
   const FleetView& view() const { return view_; }
-  /** The rules as the operator wrote them; empty until known. */
-  const std::string& rules_text() const { return rules_text_; }
   /** When the next grace passes; the clock's end without one. */
   TimePoint NextExpiry() const;
 
@@ -67,6 +63,7 @@
     TimePoint missing_since{};  // The clock's origin while it is listed.
   };
 
+  void TakeRules(std::string_view value);
   void Remove(const std::string& key, bool at_once, TimePoint now);
   bool HasNamedWeights(const std::string& id, const std::string& model) const;
   bool StoreWasLost(TimePoint now) const;
@@ -80,7 +77,6 @@
 
   std::map<std::string, Told> rollout_;
   WeightsTargets weights_;
-  std::string rules_text_;
   std::vector<RowFault> faults_;
   FleetView view_;
   TimePoint store_lost_at_{};
--- a/gateway/include/gateway/order_giver.h
+++ b/gateway/include/gateway/order_giver.h
@@ -33,6 +33,8 @@
 
   void Start();
   void OnView(const FleetView& view);
+  /** Another gateway told of orders that it gives. */
+  void OnOtherGiver();
   /** Takes the duty no more. A roll-out under way goes on for up to `grace`,
    * since the next holder may only begin a lease's margin later. */
   void Leave(Millis grace);
--- a/gateway/include/gateway/peer_links.h
+++ b/gateway/include/gateway/peer_links.h
@@ -1,22 +1,23 @@
 // What gateways tell each other directly: the progress of a roll-out as it
-// happens, and the rules to one that the store turns away.
+// happens, and the store's rows to those that do not read it.
 #ifndef GATEWAY_PEER_LINKS_H_
 #define GATEWAY_PEER_LINKS_H_
 
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "coordination/clock.h"
+#include "gateway/feed_plan.h"
 #include "gateway/fleet_source.h"
-#include "gateway/fleet_state.h"
 #include "gateway/fleet_view.h"
 #include "gateway/settings.h"
 #include "runtime/duty.h"
 #include "runtime/metrics.h"
+#include "wire_types.h"
 
 namespace peridotgate::gateway {
 
@@ -25,10 +26,9 @@
  public:
   struct Handlers {
     std::function<void(const RolloutMap&)> on_rollout;
-    std::function<void(std::string_view)> on_rules;
-    std::function<void(std::vector<runtime::Endpoint>)> on_peers;
-    std::function<bool()> wants_rules;  // The store can't be asked.
-    std::function<const FleetState&()> rules;
+    // The gateways that are there now; at first the seeds.
+    std::function<void(std::vector<PeerGateway>)> on_peers;
+    std::function<asio::awaitable<wire::FeedCopy>(wire::FeedQuery)> on_query;
   };
 
   PeerLinks(runtime::Duty& duty,
@@ -43,6 +43,9 @@
   void Start(Handlers handlers);
   /** Tells all peers, without waiting for them. */
   void Notify(const RolloutMap& progress);
+  /** Asks a peer for rows that changed; nothing without an answer. */
+  asio::awaitable<std::optional<wire::FeedCopy>> AskRows(runtime::Endpoint peer,
+                                                         wire::FeedQuery query);
 
  private:
   struct Contents;
--- a/gateway/src/fleet_state.cc
+++ b/gateway/src/fleet_state.cc
@@ -26,7 +26,7 @@
       continue;
     }
     if (format_.IsRules(it.key)) {
-      OnPeerRules(it.value);
+      TakeRules(it.value);
       continue;
     }
     const auto weights = format_.ReadWeights(it.key, it.value);
@@ -37,20 +37,18 @@
   }
 }
 
-bool FleetState::OnPeerRules(std::string_view value) {
+void FleetState::TakeRules(std::string_view value) {
   std::string fault;
   auto rules = format_.ReadRules(value, fault);
   if (!rules) {
     faults_.push_back({"rules", std::move(fault)});
-    return false;
+    return;
   }
   if (view_.rules && rules->version() <= view_.rules->version()) {
-    return false;
+    return;
   }
   view_.rules = std::move(rules);
-  rules_text_ = value;
   changed_ = true;
-  return true;
 }
 
 bool FleetState::StoreWasLost(TimePoint now) const {
--- a/gateway/src/order_giver.cc
+++ b/gateway/src/order_giver.cc
@@ -1,5 +1,6 @@
 #include "gateway/order_giver.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <utility>
@@ -42,6 +43,12 @@
 constexpr Millis kHold{1700};
 constexpr Millis kReadPeriod{500};
 
+// The first gateways by address ask for the lease as soon as there is work; all
+// others only when nobody was heard to give orders for a while, as each
+// question is a call to the store.
+constexpr std::size_t kCandidates = 3;
+constexpr Millis kQuiet{2000};
+
 // Two holders' orders are at least `settings.lease` apart, with the time that
 // an order may be under way.
 coordination::LeaseOptions LeaseTimes(const GatewaySettings& settings) {
@@ -112,6 +119,8 @@
   std::int64_t row_version = 0;
   WeightsRollout rollout;
   bool holding = false;
+  std::size_t rank = 0;     // Gateways that come before this one.
+  TimePoint quiet_since{};  // Nobody was heard to give orders since.
   std::optional<TimePoint> leave_by;
   std::map<std::string, std::shared_ptr<runtime::HttpClient>> clients;
 
@@ -126,6 +135,10 @@
         co_return;
       }
       if (!rollout.pending()) {
+        quiet_since = clock.Now();
+        continue;
+      }
+      if (!Contends()) {
         continue;
       }
       co_await KeepLease();
@@ -145,6 +158,11 @@
     }
   }
 
+  // Answers the load of a fleet that asks for one lease at the same moment.
+  bool Contends() const {
+    return rank < kCandidates || holding || clock.Now() - quiet_since >= kQuiet;
+  }
+
   asio::awaitable<void> KeepLease() {
     switch (lease.Next(clock.Now())) {
       case LeaseAction::kNone:
@@ -303,8 +321,18 @@
   contents_->leave_by = contents_->clock.Now() + grace;
 }
 
+void OrderGiver::OnOtherGiver() {
+  contents_->quiet_since = contents_->clock.Now();
+}
+
 void OrderGiver::OnView(const FleetView& view) {
   contents_->rollout.OnView(view);
+  if (view.peers) {
+    const std::string own = runtime::ToString(contents_->settings.peers);
+    contents_->rank = static_cast<std::size_t>(std::count_if(
+        view.peers->begin(), view.peers->end(),
+        [&](const auto& it) { return runtime::ToString(it) < own; }));
+  }
   if (view.servers) {
     std::erase_if(contents_->clients, [&](const auto& it) {
       return !view.servers->contains(it.first);
--- a/gateway/src/peer_links.cc
+++ b/gateway/src/peer_links.cc
@@ -13,7 +13,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "coordination/ids.h"
-#include "runtime/event_log.h"
 #include "runtime/http.h"
 #include "wire/codec.h"
 
@@ -21,26 +20,22 @@
 namespace {
 
 namespace http = runtime::http;
-using runtime::LogClass;
-using runtime::LogEvent;
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
 constexpr std::string_view kGatewayTable = "gateways";
 constexpr std::string_view kRolloutPath = "/rollout";
-constexpr std::string_view kRulesPath = "/rules";
+constexpr std::string_view kRowsPath = "/rows";
 constexpr std::string_view kThrift = "application/vnd.apache.thrift.compact";
 // How often a gateway renews its row, and reads those of the others.
-constexpr Millis kPresencePeriod{8000};
+constexpr Millis kPresencePeriod{15000};
 // A first look at the others comes sooner, once all have started.
 constexpr Millis kFirstLook{1500};
 // A row that did not change for so long belongs to a gateway that is gone.
-constexpr Millis kAbsence{25000};
-// How often peers are asked for rules while the store can't be.
-constexpr Millis kAskPeriod{300};
+constexpr Millis kAbsence{40000};
 constexpr Millis kPeerTimeout{400};
-// Peers asked at once.
-constexpr std::size_t kAskedAtOnce = 2;
+// A peer answers a question for rows this much after the time it may hold it.
+constexpr Millis kRowsMargin{300};
 
 }  // namespace
 
@@ -77,7 +72,6 @@
   std::string incarnation;
   Handlers handlers;
   std::map<std::string, Peer> peers;  // By address.
-  std::size_t next_asked = 0;
   runtime::HttpServer server;
 
   std::string OwnAddress() const { return runtime::ToString(settings.peers); }
@@ -93,34 +87,45 @@
 
   asio::awaitable<void> Serve(runtime::HttpRequest request,
                               runtime::HttpExchange& exchange) {
+    if (request.target() == kRowsPath && handlers.on_query) {
+      co_await ServeRows(request, exchange);
+      co_return;
+    }
     runtime::HttpResponse response = Answer(request);
     co_await exchange.Send(std::move(response));
   }
 
+  asio::awaitable<void> ServeRows(const runtime::HttpRequest& request,
+                                  runtime::HttpExchange& exchange) {
+    auto query = wire::DecodeStruct<wire::FeedQuery>(request.body());
+    if (!query) {
+      auto refusal = runtime::MakeResponse(http::status::bad_request, "");
+      co_await exchange.Send(std::move(refusal));
+      co_return;
+    }
+    const wire::FeedCopy copy =
+        co_await handlers.on_query(std::move(query.value()));
+    auto response = runtime::MakeResponse(http::status::ok,
+                                          wire::EncodeStruct(copy), kThrift);
+    co_await exchange.Send(std::move(response));
+  }
+
   runtime::HttpResponse Answer(const runtime::HttpRequest& request) {
-    if (request.target() == kRolloutPath) {
-      auto notice = wire::DecodeStruct<wire::RolloutNotice>(request.body());
-      if (!notice) {
-        return runtime::MakeResponse(http::status::bad_request, "");
-      }
-      RolloutMap told;
-      for (const wire::RolloutServer& it : notice.value().servers) {
-        told[it.id] = {it.model, it.version, it.switching};
-      }
-      if (handlers.on_rollout) {
-        handlers.on_rollout(told);
-      }
-      return runtime::MakeResponse(http::status::ok, "");
+    if (request.target() != kRolloutPath) {
+      return runtime::MakeResponse(http::status::not_found, "");
+    }
+    auto notice = wire::DecodeStruct<wire::RolloutNotice>(request.body());
+    if (!notice) {
+      return runtime::MakeResponse(http::status::bad_request, "");
+    }
+    RolloutMap told;
+    for (const wire::RolloutServer& it : notice.value().servers) {
+      told[it.id] = {it.model, it.version, it.switching};
     }
-    if (request.target() == kRulesPath && handlers.rules) {
-      const FleetState& state = handlers.rules();
-      wire::RulesCopy copy;
-      copy.version = state.view().rules ? state.view().rules->version() : 0;
-      copy.text = state.rules_text();
-      return runtime::MakeResponse(http::status::ok, wire::EncodeStruct(copy),
-                                   kThrift);
+    if (handlers.on_rollout) {
+      handlers.on_rollout(told);
     }
-    return runtime::MakeResponse(http::status::not_found, "");
+    return runtime::MakeResponse(http::status::ok, "");
   }
 
   // Writes this gateway's row and reads the others'.
@@ -129,7 +134,8 @@
     std::int64_t renewals = 0;
     Millis pause = kFirstLook;
     while (true) {
-      const std::string value = incarnation + " " + std::to_string(++renewals);
+      const std::string value = settings.data_centre + " " + incarnation + " " +
+                                std::to_string(++renewals);
       std::string table(kGatewayTable);
       std::string key = OwnAddress();
       auto written = co_await store.Write(std::move(table), std::move(key),
@@ -154,7 +160,7 @@
 
   void OnRows(const StoredRows& rows) {
     const TimePoint now = clock.Now();
-    std::vector<runtime::Endpoint> live;
+    std::vector<PeerGateway> live;
     for (const StoredRow& it : rows.rows) {
       const auto address = runtime::ParseEndpoint(it.key);
       if (!address || it.key == OwnAddress()) {
@@ -166,7 +172,7 @@
         peer.changed_at = now;
       }
       if (now - peer.changed_at < kAbsence) {
-        live.push_back(*address);
+        live.push_back({*address, it.value.substr(0, it.value.find(' '))});
       }
     }
     std::erase_if(peers, [&](const auto& it) {
@@ -203,42 +209,23 @@
     (void)co_await client->Fetch(std::move(request), kPeerTimeout);
   }
 
-  asio::awaitable<void> AskForRules() {
-    asio::steady_timer timer(duty.context());
-    while (true) {
-      timer.expires_after(kAskPeriod);
-      co_await timer.async_wait(kNoThrow);
-      if (!handlers.wants_rules() || peers.empty()) {
-        continue;
-      }
-      for (std::size_t i = 0; i < std::min(kAskedAtOnce, peers.size()); ++i) {
-        auto it =
-            std::next(peers.begin(),
-                      static_cast<std::ptrdiff_t>(next_asked++ % peers.size()));
-        asio::co_spawn(duty.context(), AskPeer(it->first, it->second.client),
-                       asio::detached);
-      }
-    }
-  }
-
-  asio::awaitable<void> AskPeer(std::string address,
-                                std::shared_ptr<runtime::HttpClient> client) {
-    auto request = runtime::MakeRequest(http::verb::get, kRulesPath);
-    auto answer = co_await client->Fetch(std::move(request), kPeerTimeout);
+  asio::awaitable<std::optional<wire::FeedCopy>> AskRows(
+      runtime::Endpoint address,
+      wire::FeedQuery query) {
+    // Held here, since the peer may be forgotten meanwhile.
+    const auto client = PeerAt(address).client;
+    const Millis timeout = Millis(query.wait_ms) + kRowsMargin;
+    auto request = runtime::MakeRequest(http::verb::post, kRowsPath,
+                                        wire::EncodeStruct(query), kThrift);
+    auto answer = co_await client->Fetch(std::move(request), timeout);
     if (!answer || answer.value().result() != http::status::ok) {
-      co_return;
+      co_return std::nullopt;
     }
-    auto copy = wire::DecodeStruct<wire::RulesCopy>(answer.value().body());
-    const FleetState& state = handlers.rules();
-    const std::int64_t own =
-        state.view().rules ? state.view().rules->version() : 0;
-    if (copy && copy.value().version > own) {
-      LogEvent("rules_from_peer", LogClass::kNotable)
-          .Add("peer", address)
-          .Add("version", copy.value().version)
-          .Add("before", own);
-      handlers.on_rules(copy.value().text);
+    auto copy = wire::DecodeStruct<wire::FeedCopy>(answer.value().body());
+    if (!copy) {
+      co_return std::nullopt;
     }
+    co_return std::move(copy.value());
   }
 };
 
@@ -259,13 +246,21 @@
 void PeerLinks::Start(Handlers handlers) {
   Contents& it = *contents_;
   it.handlers = std::move(handlers);
+  std::vector<PeerGateway> seeds;
   for (const runtime::Endpoint& seed : it.settings.seeds) {
     if (!(seed == it.settings.peers)) {
       it.PeerAt(seed);
+      seeds.push_back({seed, ""});
     }
   }
+  it.handlers.on_peers(std::move(seeds));
   asio::co_spawn(it.duty.context(), it.KeepPresence(), asio::detached);
-  asio::co_spawn(it.duty.context(), it.AskForRules(), asio::detached);
+}
+
+asio::awaitable<std::optional<wire::FeedCopy>> PeerLinks::AskRows(
+    runtime::Endpoint peer,
+    wire::FeedQuery query) {
+  return contents_->AskRows(std::move(peer), std::move(query));
 }
 
 void PeerLinks::Notify(const RolloutMap& progress) {
--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -79,9 +79,13 @@
         follower_(
             control_duty_,
             clock_,
+            settings_,
             *store_,
             protocols.format,
             [this](const FleetView& it) { Publish(it); },
+            [this](runtime::Endpoint peer, wire::FeedQuery query) {
+              return peers_.AskRows(std::move(peer), std::move(query));
+            },
             metrics_),
         readiness_(control_duty_.context(), {}, Page(), metrics_),
         operators_(control_duty_.context(), {}, Page(), metrics_),
@@ -104,19 +108,15 @@
     follower_.Start();
     orders_.Start();
     PeerLinks::Handlers handlers;
-    handlers.on_rollout = [this](const RolloutMap& it) { OnRollout(it); };
-    handlers.on_rules = [this](std::string_view text) {
-      if (follower_.state().OnPeerRules(text)) {
-        follower_.PublishChanges();
-      }
+    handlers.on_rollout = [this](const RolloutMap& it) {
+      orders_.OnOtherGiver();
+      OnRollout(it);
     };
-    handlers.on_peers = [this](std::vector<runtime::Endpoint> peers) {
-      follower_.state().OnPeers(std::move(peers));
-      follower_.PublishChanges();
+    handlers.on_peers = [this](std::vector<PeerGateway> peers) {
+      OnPeers(std::move(peers));
     };
-    handlers.wants_rules = [this] { return !follower_.in_touch(); };
-    handlers.rules = [this]() -> const FleetState& {
-      return follower_.state();
+    handlers.on_query = [this](wire::FeedQuery query) {
+      return follower_.Answer(std::move(query));
     };
     peers_.Start(std::move(handlers));
     asio::co_spawn(control_duty_.context(), WaitForStop(), asio::detached);
@@ -155,6 +155,21 @@
     follower_.PublishChanges();
   }
 
+  // Seeds are asked for rows, but not counted among those that share budgets.
+  void OnPeers(std::vector<PeerGateway> peers) {
+    std::vector<runtime::Endpoint> addresses;
+    bool registered = !settings_.seeds.empty() || !peers.empty();
+    for (const PeerGateway& it : peers) {
+      registered = registered && !it.data_centre.empty();
+      addresses.push_back(it.address);
+    }
+    follower_.OnPeers(std::move(peers));
+    if (registered) {
+      follower_.state().OnPeers(std::move(addresses));
+      follower_.PublishChanges();
+    }
+  }
+
   runtime::HttpResponse Readiness() const {
     const bool ready = known_ && !leaving_;
     return runtime::MakeResponse(
--- /dev/null
+++ b/gateway/tests/correctness/row_table_test.cc
@@ -0,0 +1,52 @@
+// What one gateway tells another of rows that changed.
+#include "gateway/row_table.h"
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace peridotgate::gateway {
+namespace {
+
+TEST(RowTable, TellsWhatChangedAfterAVersion) {
+  RowTable table;
+  EXPECT_TRUE(
+      table.Apply({{{"a", "1", 3, false}, {"b", "1", 4, false}}, 5}, true));
+  EXPECT_TRUE(
+      table.Apply({{{"b", "", 7, true}, {"c", "1", 8, false}}, 8}, false));
+  {
+    SCOPED_TRACE("removed rows are told");
+    const auto changes = table.After(5);
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(changes->version, 8);
+    ASSERT_EQ(changes->rows.size(), 2U);
+    EXPECT_TRUE(changes->rows[0].removed);
+    EXPECT_EQ(changes->rows[1].key, "c");
+  }
+  {
+    SCOPED_TRACE("what was before the first read can't be told");
+    EXPECT_FALSE(table.After(4));
+    EXPECT_EQ(table.All().rows.size(), 2U);
+  }
+  {
+    SCOPED_TRACE("rows that were overtaken change nothing");
+    EXPECT_FALSE(table.Apply({{{"c", "0", 2, false}}, 6}, true));
+    EXPECT_EQ(table.All().rows.size(), 2U);
+    EXPECT_EQ(table.version(), 8);
+  }
+}
+
+TEST(RowTable, ForgetsRemovedRowsInTheEnd) {
+  RowTable table;
+  table.Apply({{}, 1}, true);
+  for (std::int64_t i = 2; i < 400; ++i) {
+    table.Apply({{{"row-" + std::to_string(i), "", i, true}}, i}, false);
+  }
+  EXPECT_FALSE(table.After(1));
+  const auto changes = table.After(399);
+  ASSERT_TRUE(changes);
+  EXPECT_TRUE(changes->rows.empty());
+}
+
+}  // namespace
+}  // namespace peridotgate::gateway
--- a/gateway/tests/error/fleet_state_test.cc
+++ b/gateway/tests/error/fleet_state_test.cc
@@ -3,52 +3,14 @@
 
 #include <gtest/gtest.h>
 
+#include "../plain_format.h"
+
 namespace peridotgate::gateway {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Rules are a version; servers are "ready", "leaving", or ready with the
-// version of their weights.
-class PlainFormat : public FleetFormat {
- public:
-  std::string_view operator_table() const override { return "rules"; }
-  std::string_view server_table() const override { return "servers"; }
-  bool IsRules(std::string_view key) const override { return key == "rules"; }
-  std::shared_ptr<const Rules> ReadRules(std::string_view value,
-                                         std::string& fault) const override {
-    if (value == "broken") {
-      fault = "unreadable";
-      return nullptr;
-    }
-    RulesText text;
-    text.version = std::stoi(std::string(value));
-    return std::make_shared<Rules>(std::move(text));
-  }
-  std::optional<std::pair<std::string, std::int64_t>> ReadWeights(
-      std::string_view key,
-      std::string_view value) const override {
-    return std::pair(std::string(key), std::stoll(std::string(value)));
-  }
-  std::optional<BackendServer> ReadServer(std::string_view key,
-                                          std::string_view value,
-                                          std::string& fault) const override {
-    BackendServer server;
-    server.id = key;
-    if (value == "2") {
-      server.weights["model"] = 2;
-      return server;
-    }
-    if (value != "ready" && value != "leaving") {
-      fault = "unknown state";
-      return std::nullopt;
-    }
-    server.leaving = value == "leaving";
-    return server;
-  }
-};
-
 class State : public testing::Test {
  protected:
   void Operator(const std::string& key, const std::string& value) {
@@ -79,8 +41,10 @@
   Operator("rules", "broken");
   EXPECT_EQ(state_.view().rules->version(), 5);
   EXPECT_EQ(state_.TakeFaults().size(), 1U);
-  EXPECT_FALSE(state_.OnPeerRules("4"));
-  EXPECT_TRUE(state_.OnPeerRules("9"));
+  Operator("rules", "4");
+  EXPECT_EQ(state_.view().rules->version(), 5);
+  Operator("rules", "9");
+  EXPECT_EQ(state_.view().rules->version(), 9);
   Operator("model", "4");
   Operator("model", "2");
   EXPECT_EQ(state_.view().weights->at("model"), 4);
--- a/operate/src/explain.cc
+++ b/operate/src/explain.cc
@@ -16,7 +16,7 @@
 constexpr std::array<std::string_view, 10> kBeliefs = {
     "started",          "leaving",
     "view_changed",     "store_lost",
-    "store_regained",   "rules_from_peer",
+    "store_regained",   "rows_source",
     "order_lease",      "store_history_gone",
     "cache_store_lost", "cache_store_regained"};
 
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -7190,129 +7190,6 @@
 }
 
 
-RulesCopy::~RulesCopy() noexcept {
-}
-
-
-void RulesCopy::__set_version(const int64_t val) {
-  this->version = val;
-}
-
-void RulesCopy::__set_text(const std::string& val) {
-  this->text = val;
-}
-std::ostream& operator<<(std::ostream& out, const RulesCopy& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t RulesCopy::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->text);
-          this->__isset.text = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t RulesCopy::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RulesCopy");
-
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeBinary(this->text);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(RulesCopy &a, RulesCopy &b) {
-  using ::std::swap;
-  swap(a.version, b.version);
-  swap(a.text, b.text);
-  swap(a.__isset, b.__isset);
-}
-
-RulesCopy::RulesCopy(const RulesCopy& other231) {
-  version = other231.version;
-  text = other231.text;
-  __isset = other231.__isset;
-}
-RulesCopy::RulesCopy(RulesCopy&& other232) noexcept {
-  version = other232.version;
-  text = std::move(other232.text);
-  __isset = other232.__isset;
-}
-RulesCopy& RulesCopy::operator=(const RulesCopy& other233) {
-  version = other233.version;
-  text = other233.text;
-  __isset = other233.__isset;
-  return *this;
-}
-RulesCopy& RulesCopy::operator=(RulesCopy&& other234) noexcept {
-  version = other234.version;
-  text = std::move(other234.text);
-  __isset = other234.__isset;
-  return *this;
-}
-void RulesCopy::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "RulesCopy(";
-  out << "version=" << to_string(version);
-  out << ", " << "text=" << to_string(text);
-  out << ")";
-}
-
-
 RowCopy::~RowCopy() noexcept {
 }
 
@@ -7439,34 +7316,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RowCopy::RowCopy(const RowCopy& other235) {
-  key = other235.key;
-  value = other235.value;
-  version = other235.version;
-  removed = other235.removed;
-  __isset = other235.__isset;
-}
-RowCopy::RowCopy(RowCopy&& other236) noexcept {
-  key = std::move(other236.key);
-  value = std::move(other236.value);
-  version = other236.version;
-  removed = other236.removed;
-  __isset = other236.__isset;
-}
-RowCopy& RowCopy::operator=(const RowCopy& other237) {
-  key = other237.key;
-  value = other237.value;
-  version = other237.version;
-  removed = other237.removed;
-  __isset = other237.__isset;
+RowCopy::RowCopy(const RowCopy& other231) {
+  key = other231.key;
+  value = other231.value;
+  version = other231.version;
+  removed = other231.removed;
+  __isset = other231.__isset;
+}
+RowCopy::RowCopy(RowCopy&& other232) noexcept {
+  key = std::move(other232.key);
+  value = std::move(other232.value);
+  version = other232.version;
+  removed = other232.removed;
+  __isset = other232.__isset;
+}
+RowCopy& RowCopy::operator=(const RowCopy& other233) {
+  key = other233.key;
+  value = other233.value;
+  version = other233.version;
+  removed = other233.removed;
+  __isset = other233.__isset;
   return *this;
 }
-RowCopy& RowCopy::operator=(RowCopy&& other238) noexcept {
-  key = std::move(other238.key);
-  value = std::move(other238.value);
-  version = other238.version;
-  removed = other238.removed;
-  __isset = other238.__isset;
+RowCopy& RowCopy::operator=(RowCopy&& other234) noexcept {
+  key = std::move(other234.key);
+  value = std::move(other234.value);
+  version = other234.version;
+  removed = other234.removed;
+  __isset = other234.__isset;
   return *this;
 }
 void RowCopy::printTo(std::ostream& out) const {
@@ -7555,14 +7432,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size239;
-            ::apache::thrift::protocol::TType _etype242;
-            xfer += iprot->readListBegin(_etype242, _size239);
-            this->rows.resize(_size239);
-            uint32_t _i243;
-            for (_i243 = 0; _i243 < _size239; ++_i243)
+            uint32_t _size235;
+            ::apache::thrift::protocol::TType _etype238;
+            xfer += iprot->readListBegin(_etype238, _size235);
+            this->rows.resize(_size235);
+            uint32_t _i239;
+            for (_i239 = 0; _i239 < _size235; ++_i239)
             {
-              xfer += this->rows[_i243].read(iprot);
+              xfer += this->rows[_i239].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7603,10 +7480,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<RowCopy> ::const_iterator _iter244;
-    for (_iter244 = this->rows.begin(); _iter244 != this->rows.end(); ++_iter244)
+    std::vector<RowCopy> ::const_iterator _iter240;
+    for (_iter240 = this->rows.begin(); _iter240 != this->rows.end(); ++_iter240)
     {
-      xfer += (*_iter244).write(oprot);
+      xfer += (*_iter240).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7626,34 +7503,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TableCopy::TableCopy(const TableCopy& other245) {
-  name = other245.name;
-  version = other245.version;
-  whole = other245.whole;
-  rows = other245.rows;
-  __isset = other245.__isset;
-}
-TableCopy::TableCopy(TableCopy&& other246) noexcept {
-  name = std::move(other246.name);
-  version = other246.version;
-  whole = other246.whole;
-  rows = std::move(other246.rows);
-  __isset = other246.__isset;
-}
-TableCopy& TableCopy::operator=(const TableCopy& other247) {
-  name = other247.name;
-  version = other247.version;
-  whole = other247.whole;
-  rows = other247.rows;
-  __isset = other247.__isset;
+TableCopy::TableCopy(const TableCopy& other241) {
+  name = other241.name;
+  version = other241.version;
+  whole = other241.whole;
+  rows = other241.rows;
+  __isset = other241.__isset;
+}
+TableCopy::TableCopy(TableCopy&& other242) noexcept {
+  name = std::move(other242.name);
+  version = other242.version;
+  whole = other242.whole;
+  rows = std::move(other242.rows);
+  __isset = other242.__isset;
+}
+TableCopy& TableCopy::operator=(const TableCopy& other243) {
+  name = other243.name;
+  version = other243.version;
+  whole = other243.whole;
+  rows = other243.rows;
+  __isset = other243.__isset;
   return *this;
 }
-TableCopy& TableCopy::operator=(TableCopy&& other248) noexcept {
-  name = std::move(other248.name);
-  version = other248.version;
-  whole = other248.whole;
-  rows = std::move(other248.rows);
-  __isset = other248.__isset;
+TableCopy& TableCopy::operator=(TableCopy&& other244) noexcept {
+  name = std::move(other244.name);
+  version = other244.version;
+  whole = other244.whole;
+  rows = std::move(other244.rows);
+  __isset = other244.__isset;
   return *this;
 }
 void TableCopy::printTo(std::ostream& out) const {
@@ -7718,14 +7595,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size249;
-            ::apache::thrift::protocol::TType _etype252;
-            xfer += iprot->readListBegin(_etype252, _size249);
-            this->tables.resize(_size249);
-            uint32_t _i253;
-            for (_i253 = 0; _i253 < _size249; ++_i253)
+            uint32_t _size245;
+            ::apache::thrift::protocol::TType _etype248;
+            xfer += iprot->readListBegin(_etype248, _size245);
+            this->tables.resize(_size245);
+            uint32_t _i249;
+            for (_i249 = 0; _i249 < _size245; ++_i249)
             {
-              xfer += this->tables[_i253].read(iprot);
+              xfer += this->tables[_i249].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7758,10 +7635,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
-    std::vector<TableCopy> ::const_iterator _iter254;
-    for (_iter254 = this->tables.begin(); _iter254 != this->tables.end(); ++_iter254)
+    std::vector<TableCopy> ::const_iterator _iter250;
+    for (_iter250 = this->tables.begin(); _iter250 != this->tables.end(); ++_iter250)
     {
-      xfer += (*_iter254).write(oprot);
+      xfer += (*_iter250).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7779,26 +7656,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedCopy::FeedCopy(const FeedCopy& other255) {
-  age_ms = other255.age_ms;
-  tables = other255.tables;
-  __isset = other255.__isset;
+FeedCopy::FeedCopy(const FeedCopy& other251) {
+  age_ms = other251.age_ms;
+  tables = other251.tables;
+  __isset = other251.__isset;
 }
-FeedCopy::FeedCopy(FeedCopy&& other256) noexcept {
-  age_ms = other256.age_ms;
-  tables = std::move(other256.tables);
-  __isset = other256.__isset;
+FeedCopy::FeedCopy(FeedCopy&& other252) noexcept {
+  age_ms = other252.age_ms;
+  tables = std::move(other252.tables);
+  __isset = other252.__isset;
 }
-FeedCopy& FeedCopy::operator=(const FeedCopy& other257) {
-  age_ms = other257.age_ms;
-  tables = other257.tables;
-  __isset = other257.__isset;
+FeedCopy& FeedCopy::operator=(const FeedCopy& other253) {
+  age_ms = other253.age_ms;
+  tables = other253.tables;
+  __isset = other253.__isset;
   return *this;
 }
-FeedCopy& FeedCopy::operator=(FeedCopy&& other258) noexcept {
-  age_ms = other258.age_ms;
-  tables = std::move(other258.tables);
-  __isset = other258.__isset;
+FeedCopy& FeedCopy::operator=(FeedCopy&& other254) noexcept {
+  age_ms = other254.age_ms;
+  tables = std::move(other254.tables);
+  __isset = other254.__isset;
   return *this;
 }
 void FeedCopy::printTo(std::ostream& out) const {
@@ -7902,26 +7779,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TableMark::TableMark(const TableMark& other259) {
-  name = other259.name;
-  version = other259.version;
-  __isset = other259.__isset;
+TableMark::TableMark(const TableMark& other255) {
+  name = other255.name;
+  version = other255.version;
+  __isset = other255.__isset;
 }
-TableMark::TableMark(TableMark&& other260) noexcept {
-  name = std::move(other260.name);
-  version = other260.version;
-  __isset = other260.__isset;
+TableMark::TableMark(TableMark&& other256) noexcept {
+  name = std::move(other256.name);
+  version = other256.version;
+  __isset = other256.__isset;
 }
-TableMark& TableMark::operator=(const TableMark& other261) {
-  name = other261.name;
-  version = other261.version;
-  __isset = other261.__isset;
+TableMark& TableMark::operator=(const TableMark& other257) {
+  name = other257.name;
+  version = other257.version;
+  __isset = other257.__isset;
   return *this;
 }
-TableMark& TableMark::operator=(TableMark&& other262) noexcept {
-  name = std::move(other262.name);
-  version = other262.version;
-  __isset = other262.__isset;
+TableMark& TableMark::operator=(TableMark&& other258) noexcept {
+  name = std::move(other258.name);
+  version = other258.version;
+  __isset = other258.__isset;
   return *this;
 }
 void TableMark::printTo(std::ostream& out) const {
@@ -7984,14 +7861,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size263;
-            ::apache::thrift::protocol::TType _etype266;
-            xfer += iprot->readListBegin(_etype266, _size263);
-            this->tables.resize(_size263);
-            uint32_t _i267;
-            for (_i267 = 0; _i267 < _size263; ++_i267)
+            uint32_t _size259;
+            ::apache::thrift::protocol::TType _etype262;
+            xfer += iprot->readListBegin(_etype262, _size259);
+            this->tables.resize(_size259);
+            uint32_t _i263;
+            for (_i263 = 0; _i263 < _size259; ++_i263)
             {
-              xfer += this->tables[_i267].read(iprot);
+              xfer += this->tables[_i263].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8024,10 +7901,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
-    std::vector<TableMark> ::const_iterator _iter268;
-    for (_iter268 = this->tables.begin(); _iter268 != this->tables.end(); ++_iter268)
+    std::vector<TableMark> ::const_iterator _iter264;
+    for (_iter264 = this->tables.begin(); _iter264 != this->tables.end(); ++_iter264)
     {
-      xfer += (*_iter268).write(oprot);
+      xfer += (*_iter264).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8045,26 +7922,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedQuery::FeedQuery(const FeedQuery& other269) {
-  wait_ms = other269.wait_ms;
-  tables = other269.tables;
-  __isset = other269.__isset;
+FeedQuery::FeedQuery(const FeedQuery& other265) {
+  wait_ms = other265.wait_ms;
+  tables = other265.tables;
+  __isset = other265.__isset;
 }
-FeedQuery::FeedQuery(FeedQuery&& other270) noexcept {
-  wait_ms = other270.wait_ms;
-  tables = std::move(other270.tables);
-  __isset = other270.__isset;
+FeedQuery::FeedQuery(FeedQuery&& other266) noexcept {
+  wait_ms = other266.wait_ms;
+  tables = std::move(other266.tables);
+  __isset = other266.__isset;
 }
-FeedQuery& FeedQuery::operator=(const FeedQuery& other271) {
-  wait_ms = other271.wait_ms;
-  tables = other271.tables;
-  __isset = other271.__isset;
+FeedQuery& FeedQuery::operator=(const FeedQuery& other267) {
+  wait_ms = other267.wait_ms;
+  tables = other267.tables;
+  __isset = other267.__isset;
   return *this;
 }
-FeedQuery& FeedQuery::operator=(FeedQuery&& other272) noexcept {
-  wait_ms = other272.wait_ms;
-  tables = std::move(other272.tables);
-  __isset = other272.__isset;
+FeedQuery& FeedQuery::operator=(FeedQuery&& other268) noexcept {
+  wait_ms = other268.wait_ms;
+  tables = std::move(other268.tables);
+  __isset = other268.__isset;
   return *this;
 }
 void FeedQuery::printTo(std::ostream& out) const {
@@ -8165,9 +8042,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast273;
-          xfer += iprot->readI32(ecast273);
-          this->state = static_cast<ClaimState::type>(ecast273);
+          int32_t ecast269;
+          xfer += iprot->readI32(ecast269);
+          this->state = static_cast<ClaimState::type>(ecast269);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8272,50 +8149,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRecord::ClaimRecord(const ClaimRecord& other274) {
-  attempt_token = other274.attempt_token;
-  agent = other274.agent;
-  body_digest = other274.body_digest;
-  state = other274.state;
-  status = other274.status;
-  content_type = other274.content_type;
-  body = other274.body;
-  at_ms = other274.at_ms;
-  __isset = other274.__isset;
-}
-ClaimRecord::ClaimRecord(ClaimRecord&& other275) noexcept {
-  attempt_token = std::move(other275.attempt_token);
-  agent = std::move(other275.agent);
-  body_digest = std::move(other275.body_digest);
-  state = other275.state;
-  status = other275.status;
-  content_type = std::move(other275.content_type);
-  body = std::move(other275.body);
-  at_ms = other275.at_ms;
-  __isset = other275.__isset;
-}
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other276) {
-  attempt_token = other276.attempt_token;
-  agent = other276.agent;
-  body_digest = other276.body_digest;
-  state = other276.state;
-  status = other276.status;
-  content_type = other276.content_type;
-  body = other276.body;
-  at_ms = other276.at_ms;
-  __isset = other276.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other270) {
+  attempt_token = other270.attempt_token;
+  agent = other270.agent;
+  body_digest = other270.body_digest;
+  state = other270.state;
+  status = other270.status;
+  content_type = other270.content_type;
+  body = other270.body;
+  at_ms = other270.at_ms;
+  __isset = other270.__isset;
+}
+ClaimRecord::ClaimRecord(ClaimRecord&& other271) noexcept {
+  attempt_token = std::move(other271.attempt_token);
+  agent = std::move(other271.agent);
+  body_digest = std::move(other271.body_digest);
+  state = other271.state;
+  status = other271.status;
+  content_type = std::move(other271.content_type);
+  body = std::move(other271.body);
+  at_ms = other271.at_ms;
+  __isset = other271.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other272) {
+  attempt_token = other272.attempt_token;
+  agent = other272.agent;
+  body_digest = other272.body_digest;
+  state = other272.state;
+  status = other272.status;
+  content_type = other272.content_type;
+  body = other272.body;
+  at_ms = other272.at_ms;
+  __isset = other272.__isset;
   return *this;
 }
-ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other277) noexcept {
-  attempt_token = std::move(other277.attempt_token);
-  agent = std::move(other277.agent);
-  body_digest = std::move(other277.body_digest);
-  state = other277.state;
-  status = other277.status;
-  content_type = std::move(other277.content_type);
-  body = std::move(other277.body);
-  at_ms = other277.at_ms;
-  __isset = other277.__isset;
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other273) noexcept {
+  attempt_token = std::move(other273.attempt_token);
+  agent = std::move(other273.agent);
+  body_digest = std::move(other273.body_digest);
+  state = other273.state;
+  status = other273.status;
+  content_type = std::move(other273.content_type);
+  body = std::move(other273.body);
+  at_ms = other273.at_ms;
+  __isset = other273.__isset;
   return *this;
 }
 void ClaimRecord::printTo(std::ostream& out) const {
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -200,8 +200,6 @@
 
 class UseNotice;
 
-class RulesCopy;
-
 class RowCopy;
 
 class TableCopy;
@@ -2751,58 +2749,6 @@
 
 std::ostream& operator<<(std::ostream& out, const UseNotice& obj);
 
-typedef struct _RulesCopy__isset {
-  _RulesCopy__isset() : version(false), text(false) {}
-  bool version :1;
-  bool text :1;
-} _RulesCopy__isset;
-
-class RulesCopy : public virtual ::apache::thrift::TBase {
- public:
-
-  RulesCopy(const RulesCopy&);
-  RulesCopy(RulesCopy&&) noexcept;
-  RulesCopy& operator=(const RulesCopy&);
-  RulesCopy& operator=(RulesCopy&&) noexcept;
-  RulesCopy() noexcept
-            : version(0),
-              text() {
-  }
-
-  virtual ~RulesCopy() noexcept;
-  int64_t version;
-  std::string text;
-
-  _RulesCopy__isset __isset;
-
-  void __set_version(const int64_t val);
-
-  void __set_text(const std::string& val);
-
-  bool operator == (const RulesCopy & rhs) const
-  {
-    if (!(version == rhs.version))
-      return false;
-    if (!(text == rhs.text))
-      return false;
-    return true;
-  }
-  bool operator != (const RulesCopy &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const RulesCopy & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(RulesCopy &a, RulesCopy &b);
-
-std::ostream& operator<<(std::ostream& out, const RulesCopy& obj);
-
 typedef struct _RowCopy__isset {
   _RowCopy__isset() : key(false), value(false), version(false), removed(false) {}
   bool key :1;
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -173,8 +173,7 @@
   1: list<TargetRules> targets, 2: list<string> operator_key_digests
 }
 
-// Between gateways: how far the roll-out of weights is, and the rules as the
-// operator wrote them.
+// Between gateways: how far the roll-out of weights is.
 struct RolloutServer {
   1: string id, 2: string model, 3: i64 version, 4: bool switching
 }
@@ -188,7 +187,6 @@
   1: i64 incarnation, 2: i64 sequence, 3: list<ServerUse> uses,
   4: list<SentPrompt> prompts, 5: bool whole
 }
-struct RulesCopy { 1: i64 version, 2: binary text }
 // Rows of the platform's store as one gateway knows them, for those that do
 // not read the store themselves. `age_ms`: how long ago the store confirmed them.
 struct RowCopy { 1: string key, 2: binary value, 3: i64 version, 4: bool removed }
