--- a/testing/prove/child.cc
+++ b/testing/prove/child.cc
@@ -89,6 +89,10 @@
   Signal(SIGCONT);
 }
 
+void Child::Reload() {
+  Signal(SIGHUP);
+}
+
 bool Child::Ended() {
   if (pid_ <= 0) {
     return true;
--- a/testing/prove/child.h
+++ b/testing/prove/child.h
@@ -25,6 +25,8 @@
   void Terminate();
   void Pause();
   void Continue();
+  /** SIGHUP: its settings may have changed. */
+  void Reload();
 
   /** Whether it has ended; reaps it. */
   bool Ended();
--- a/testing/prove/frame_faults.cc
+++ b/testing/prove/frame_faults.cc
@@ -34,6 +34,9 @@
 std::size_t FrameFaults::Take(std::string_view bytes,
                               FrameFault fault,
                               TimePoint now) {
+  if (unit_ == LinkUnit::kBytes) {
+    return TakeFrame(std::string(bytes), fault, now) ? 1 : 0;
+  }
   unread_ += bytes;
   std::size_t struck = 0;
   std::size_t size = 0;
--- a/testing/prove/frame_faults.h
+++ b/testing/prove/frame_faults.h
@@ -15,6 +15,12 @@
 /** A disturbance of frames, kept up for a while. */
 enum class FrameFault { kNone, kDelayed, kDuplicated, kCrossed };
 
+/** What a link carries. */
+enum class LinkUnit {
+  kFrames,  // Of our own protocol.
+  kBytes,   // Of another one: only delays make sense.
+};
+
 /**
  * Cuts a byte stream into frames of our protocol and says when each is passed
  * on: at once, late but in order, a second time, or after its successors.
@@ -26,7 +32,8 @@
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  explicit FrameFaults(std::uint64_t seed) : random_(seed) {}
+  explicit FrameFaults(std::uint64_t seed, LinkUnit unit = LinkUnit::kFrames)
+      : unit_(unit), random_(seed) {}
 
   /** Takes bytes as read; how many frames were disturbed. */
   std::size_t Take(std::string_view bytes, FrameFault fault, TimePoint now);
@@ -41,6 +48,7 @@
   bool TakeFrame(std::string frame, FrameFault fault, TimePoint now);
   std::chrono::milliseconds DrawTime(std::chrono::milliseconds most);
 
+  LinkUnit unit_;
   std::mt19937_64 random_;
   std::string unread_;
   std::multimap<TimePoint, std::string> held_;
--- a/testing/prove/link_proxy.cc
+++ b/testing/prove/link_proxy.cc
@@ -26,8 +26,8 @@
 
 // One way of a connection.
 struct Way {
-  Way(tcp::socket& from, tcp::socket& to, std::uint64_t seed)
-      : from(from), to(to), frames(seed) {}
+  Way(tcp::socket& from, tcp::socket& to, std::uint64_t seed, LinkUnit unit)
+      : from(from), to(to), frames(seed, unit) {}
   tcp::socket& from;
   tcp::socket& to;
   FrameFaults frames;
@@ -37,11 +37,11 @@
 };
 
 struct Pair {
-  Pair(asio::io_context& context, std::uint64_t seed)
+  Pair(asio::io_context& context, std::uint64_t seed, LinkUnit unit)
       : near(context),
         far(context),
-        to_agent(near, far, seed),
-        to_entry(far, near, seed + 1) {}
+        to_agent(near, far, seed, unit),
+        to_entry(far, near, seed + 1, unit) {}
   tcp::socket near;
   tcp::socket far;
   Way to_agent;
@@ -87,9 +87,11 @@
   Contents(asio::io_context& context,
            const runtime::Endpoint& listen,
            const runtime::Endpoint& target,
-           std::uint64_t seed)
+           std::uint64_t seed,
+           LinkUnit unit)
       : context(context),
         seed(seed),
+        unit(unit),
         target(asio::ip::make_address(target.address), target.port),
         acceptor(
             context,
@@ -98,6 +100,7 @@
 
   asio::io_context& context;
   std::uint64_t seed;
+  LinkUnit unit;
   FrameFault fault = FrameFault::kNone;
   std::size_t disturbed = 0;
   tcp::endpoint target;
@@ -107,7 +110,7 @@
 
   asio::awaitable<void> Accept(std::shared_ptr<Contents> /*self*/) {
     while (acceptor.is_open()) {
-      auto pair = std::make_shared<Pair>(context, seed += 2);
+      auto pair = std::make_shared<Pair>(context, seed += 2, unit);
       auto [ec] = co_await acceptor.async_accept(pair->near, kNoThrow);
       if (ec) {
         co_return;
@@ -185,8 +188,10 @@
 LinkProxy::LinkProxy(asio::io_context& context,
                      const runtime::Endpoint& listen,
                      const runtime::Endpoint& target,
-                     std::uint64_t seed)
-    : contents_(std::make_shared<Contents>(context, listen, target, seed)) {
+                     std::uint64_t seed,
+                     LinkUnit unit)
+    : contents_(
+          std::make_shared<Contents>(context, listen, target, seed, unit)) {
   asio::co_spawn(context, contents_->Accept(contents_), asio::detached);
   asio::co_spawn(context, contents_->ReleaseHeld(contents_), asio::detached);
 }
--- a/testing/prove/link_proxy.h
+++ b/testing/prove/link_proxy.h
@@ -24,7 +24,8 @@
   LinkProxy(boost::asio::io_context& context,
             const runtime::Endpoint& listen,
             const runtime::Endpoint& target,
-            std::uint64_t seed);
+            std::uint64_t seed,
+            LinkUnit unit = LinkUnit::kFrames);
   ~LinkProxy();
 
   /** Closes every connection; how many there were. */
