log: the end of a process does not wait for the reader of its output; lines that gave way are counted

Cause: stopping joined the writer's thread, which may be stuck in a write when nobody reads standard output, so a gateway could only be killed then; and lines that the ring let go were not counted as dropped. Change: the end waits half a second at the most; the ring's count goes into peridotgate_log_dropped_total.

--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -128,7 +129,10 @@
     traffic_duty_.Stop();
     LogEvent("stopped", LogClass::kNotable)
         .Add("open_requests", traffic_.open_requests());
-    runtime::StopEventLog();
+    if (!runtime::StopEventLog()) {
+      // Nobody reads the output, so ordinary exit would wait for its lock.
+      std::_Exit(0);
+    }
     return 0;
   }
 
--- a/runtime/include/runtime/event_log.h
+++ b/runtime/include/runtime/event_log.h
@@ -22,8 +22,10 @@
 /** Starts the writer thread; before that, events are not written. */
 void StartEventLog(std::string_view instance, Metrics& metrics);
 
-/** Writes what is waiting and stops the writer. */
-void StopEventLog();
+/** Writes what is waiting and stops the writer. False when the reader of the
+ * output does not take it in time: the writer's thread is stuck in a write
+ * then, and the process has to end without waiting for it. */
+bool StopEventLog();
 
 /**
  * One line, written when it goes out of scope.
--- a/runtime/src/event_log.cc
+++ b/runtime/src/event_log.cc
@@ -4,9 +4,12 @@
 #include <atomic>
 #include <charconv>
 #include <chrono>
+#include <future>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <thread>
+#include <utility>
 
 #include <spdlog/async.h>
 #include <spdlog/async_logger.h>
@@ -15,6 +18,8 @@
 namespace peridotgate::runtime {
 namespace {
 
+// The longest that the end of a process waits for the reader of its output.
+constexpr std::chrono::milliseconds kStopTimeout{500};
 // Lines that wait for the writer; the oldest give way.
 constexpr std::size_t kRingLines = 2048;
 // Lines of one event name in a second.
@@ -33,9 +38,20 @@
   std::shared_ptr<spdlog::async_logger> logger;
   std::string instance;
   Counter* dropped = nullptr;
+  std::atomic<std::size_t> overrun = 0;  // Lines that gave way, as counted.
+
   std::mutex mutex;  // Of `rates` and `sequence`.
   std::map<std::string, Rate, std::less<>> rates;
   std::int64_t sequence = 0;
+
+  // Counts lines that gave way since the reader of the output is slow.
+  void CountOverrun() {
+    const std::size_t present = pool->overrun_counter();
+    const std::size_t before = overrun.exchange(present);
+    if (present > before) {
+      dropped->Add(present - before);
+    }
+  }
 };
 
 // Set before the duties start and cleared after they have stopped.
@@ -93,9 +109,16 @@
   current.store(writer);
 }
 
-void StopEventLog() {
+bool StopEventLog() {
+  Writer* writer = current.exchange(nullptr);
   // The writer's thread ends once it has written what waits.
-  const std::unique_ptr<Writer> writer(current.exchange(nullptr));
+  std::promise<void> ended;
+  std::future<void> end = ended.get_future();
+  std::thread([writer, it = std::move(ended)]() mutable {
+    const std::unique_ptr<Writer> owned(writer);
+    it.set_value_at_thread_exit();
+  }).detach();
+  return end.wait_for(kStopTimeout) == std::future_status::ready;
 }
 
 LogEvent::LogEvent(std::string_view name, LogClass log_class) : wanted_(false) {
@@ -148,6 +171,7 @@
   }
   line_ += '}';
   writer->logger->info(line_);
+  writer->CountOverrun();
 }
 
 void LogEvent::Key(std::string_view key) {
