Trust no idle connection after one timed out

Cause: open connections may fall silent together without a reset. Change: a timeout drops the client's idle connections. Measured: HttpClient.TrustsNoIdleConnectionAfterOneFellSilent, written with the change; not run against the old client.

--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -181,6 +181,16 @@
     co_return std::move(stream);
   }
 
+  // Connections may fall silent without a reset, all at the same time. After
+  // one timed out, the idle ones are not trusted either.
+  HttpError OnFailure(const beast::error_code& ec) {
+    const HttpError error = FromIoError(ec);
+    if (error == HttpError::kTimeout) {
+      idle_streams.clear();
+    }
+    return error;
+  }
+
   void KeepIdle(peridotgate::runtime::Stream stream) {
     if (idle_streams.size() < kMaxIdleStreams) {
       stream->expires_never();
@@ -208,7 +218,7 @@
   parser.body_limit(kMaxResponseBytes);
   auto [ec, n] = co_await http::async_read(*stream, buf, parser, kNoThrow);
   if (ec) {
-    co_return FromIoError(ec);
+    co_return impl_->OnFailure(ec);
   }
   if (parser.get().keep_alive()) {
     impl_->KeepIdle(std::move(stream));
