--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -11,18 +11,22 @@
 
 #include <thrift/TToString.h>
 
-namespace peridotgate {
-namespace wire {
-
-int _kOutcomeValues[] = {Outcome::kRan, Outcome::kNotRun, Outcome::kUnknown};
-const char* _kOutcomeNames[] = {"kRan", "kNotRun", "kUnknown"};
-const std::map<int, const char*> _Outcome_VALUES_TO_NAMES(
-    ::apache::thrift::TEnumIterator(3, _kOutcomeValues, _kOutcomeNames),
-    ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+namespace peridotgate { namespace wire {
+
+int _kOutcomeValues[] = {
+  Outcome::kRan,
+  Outcome::kNotRun,
+  Outcome::kUnknown
+};
+const char* _kOutcomeNames[] = {
+  "kRan",
+  "kNotRun",
+  "kUnknown"
+};
+const std::map<int, const char*> _Outcome_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kOutcomeValues, _kOutcomeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const Outcome::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _Outcome_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _Outcome_VALUES_TO_NAMES.find(val);
   if (it != _Outcome_VALUES_TO_NAMES.end()) {
     out << it->second;
   } else {
@@ -32,8 +36,7 @@
 }
 
 std::string to_string(const Outcome::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _Outcome_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _Outcome_VALUES_TO_NAMES.find(val);
   if (it != _Outcome_VALUES_TO_NAMES.end()) {
     return std::string(it->second);
   } else {
@@ -42,25 +45,47 @@
 }
 
 int _kReasonValues[] = {
-    Reason::kNone,         Reason::kLeaving,       Reason::kStaleCache,
-    Reason::kStaleRules,   Reason::kQueueFull,     Reason::kWaitLimit,
-    Reason::kPlatformDown, Reason::kKeyReused,     Reason::kInProgress,
-    Reason::kRevoked,      Reason::kBackendFailed, Reason::kBadMessage,
-    Reason::kNoSuchStream, Reason::kCancelled,     Reason::kNoBackend,
-    Reason::kLateAnswer,   Reason::kLimit};
-const char* _kReasonNames[] = {"kNone",         "kLeaving",       "kStaleCache",
-                               "kStaleRules",   "kQueueFull",     "kWaitLimit",
-                               "kPlatformDown", "kKeyReused",     "kInProgress",
-                               "kRevoked",      "kBackendFailed", "kBadMessage",
-                               "kNoSuchStream", "kCancelled",     "kNoBackend",
-                               "kLateAnswer",   "kLimit"};
-const std::map<int, const char*> _Reason_VALUES_TO_NAMES(
-    ::apache::thrift::TEnumIterator(17, _kReasonValues, _kReasonNames),
-    ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+  Reason::kNone,
+  Reason::kLeaving,
+  Reason::kStaleCache,
+  Reason::kStaleRules,
+  Reason::kQueueFull,
+  Reason::kWaitLimit,
+  Reason::kPlatformDown,
+  Reason::kKeyReused,
+  Reason::kInProgress,
+  Reason::kRevoked,
+  Reason::kBackendFailed,
+  Reason::kBadMessage,
+  Reason::kNoSuchStream,
+  Reason::kCancelled,
+  Reason::kNoBackend,
+  Reason::kLateAnswer,
+  Reason::kLimit
+};
+const char* _kReasonNames[] = {
+  "kNone",
+  "kLeaving",
+  "kStaleCache",
+  "kStaleRules",
+  "kQueueFull",
+  "kWaitLimit",
+  "kPlatformDown",
+  "kKeyReused",
+  "kInProgress",
+  "kRevoked",
+  "kBackendFailed",
+  "kBadMessage",
+  "kNoSuchStream",
+  "kCancelled",
+  "kNoBackend",
+  "kLateAnswer",
+  "kLimit"
+};
+const std::map<int, const char*> _Reason_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(17, _kReasonValues, _kReasonNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const Reason::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _Reason_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _Reason_VALUES_TO_NAMES.find(val);
   if (it != _Reason_VALUES_TO_NAMES.end()) {
     out << it->second;
   } else {
@@ -70,8 +95,7 @@
 }
 
 std::string to_string(const Reason::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _Reason_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _Reason_VALUES_TO_NAMES.find(val);
   if (it != _Reason_VALUES_TO_NAMES.end()) {
     return std::string(it->second);
   } else {
@@ -79,15 +103,18 @@
   }
 }
 
-int _kRoleValues[] = {Role::kEntry, Role::kAgent};
-const char* _kRoleNames[] = {"kEntry", "kAgent"};
-const std::map<int, const char*> _Role_VALUES_TO_NAMES(
-    ::apache::thrift::TEnumIterator(2, _kRoleValues, _kRoleNames),
-    ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+int _kRoleValues[] = {
+  Role::kEntry,
+  Role::kAgent
+};
+const char* _kRoleNames[] = {
+  "kEntry",
+  "kAgent"
+};
+const std::map<int, const char*> _Role_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(2, _kRoleValues, _kRoleNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const Role::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _Role_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _Role_VALUES_TO_NAMES.find(val);
   if (it != _Role_VALUES_TO_NAMES.end()) {
     out << it->second;
   } else {
@@ -97,8 +124,7 @@
 }
 
 std::string to_string(const Role::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _Role_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _Role_VALUES_TO_NAMES.find(val);
   if (it != _Role_VALUES_TO_NAMES.end()) {
     return std::string(it->second);
   } else {
@@ -106,16 +132,22 @@
   }
 }
 
-int _kMemberStateValues[] = {MemberState::kAlive, MemberState::kSuspect,
-                             MemberState::kLeaving, MemberState::kGone};
-const char* _kMemberStateNames[] = {"kAlive", "kSuspect", "kLeaving", "kGone"};
-const std::map<int, const char*> _MemberState_VALUES_TO_NAMES(
-    ::apache::thrift::TEnumIterator(4, _kMemberStateValues, _kMemberStateNames),
-    ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+int _kMemberStateValues[] = {
+  MemberState::kAlive,
+  MemberState::kSuspect,
+  MemberState::kLeaving,
+  MemberState::kGone
+};
+const char* _kMemberStateNames[] = {
+  "kAlive",
+  "kSuspect",
+  "kLeaving",
+  "kGone"
+};
+const std::map<int, const char*> _MemberState_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kMemberStateValues, _kMemberStateNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const MemberState::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _MemberState_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _MemberState_VALUES_TO_NAMES.find(val);
   if (it != _MemberState_VALUES_TO_NAMES.end()) {
     out << it->second;
   } else {
@@ -125,8 +157,7 @@
 }
 
 std::string to_string(const MemberState::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _MemberState_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _MemberState_VALUES_TO_NAMES.find(val);
   if (it != _MemberState_VALUES_TO_NAMES.end()) {
     return std::string(it->second);
   } else {
@@ -134,16 +165,20 @@
   }
 }
 
-int _kOrderKindValues[] = {OrderKind::kLoad, OrderKind::kUnload,
-                           OrderKind::kRole};
-const char* _kOrderKindNames[] = {"kLoad", "kUnload", "kRole"};
-const std::map<int, const char*> _OrderKind_VALUES_TO_NAMES(
-    ::apache::thrift::TEnumIterator(3, _kOrderKindValues, _kOrderKindNames),
-    ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+int _kOrderKindValues[] = {
+  OrderKind::kLoad,
+  OrderKind::kUnload,
+  OrderKind::kRole
+};
+const char* _kOrderKindNames[] = {
+  "kLoad",
+  "kUnload",
+  "kRole"
+};
+const std::map<int, const char*> _OrderKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kOrderKindValues, _kOrderKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const OrderKind::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _OrderKind_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _OrderKind_VALUES_TO_NAMES.find(val);
   if (it != _OrderKind_VALUES_TO_NAMES.end()) {
     out << it->second;
   } else {
@@ -153,8 +188,7 @@
 }
 
 std::string to_string(const OrderKind::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _OrderKind_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _OrderKind_VALUES_TO_NAMES.find(val);
   if (it != _OrderKind_VALUES_TO_NAMES.end()) {
     return std::string(it->second);
   } else {
@@ -162,17 +196,22 @@
   }
 }
 
-int _kShareStageValues[] = {ShareStage::kFromServer, ShareStage::kFromEntry,
-                            ShareStage::kFromDataCentre, ShareStage::kTotal};
-const char* _kShareStageNames[] = {"kFromServer", "kFromEntry",
-                                   "kFromDataCentre", "kTotal"};
-const std::map<int, const char*> _ShareStage_VALUES_TO_NAMES(
-    ::apache::thrift::TEnumIterator(4, _kShareStageValues, _kShareStageNames),
-    ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+int _kShareStageValues[] = {
+  ShareStage::kFromServer,
+  ShareStage::kFromEntry,
+  ShareStage::kFromDataCentre,
+  ShareStage::kTotal
+};
+const char* _kShareStageNames[] = {
+  "kFromServer",
+  "kFromEntry",
+  "kFromDataCentre",
+  "kTotal"
+};
+const std::map<int, const char*> _ShareStage_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kShareStageValues, _kShareStageNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const ShareStage::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _ShareStage_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _ShareStage_VALUES_TO_NAMES.find(val);
   if (it != _ShareStage_VALUES_TO_NAMES.end()) {
     out << it->second;
   } else {
@@ -182,8 +221,7 @@
 }
 
 std::string to_string(const ShareStage::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _ShareStage_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _ShareStage_VALUES_TO_NAMES.find(val);
   if (it != _ShareStage_VALUES_TO_NAMES.end()) {
     return std::string(it->second);
   } else {
@@ -191,16 +229,20 @@
   }
 }
 
-int _kClaimStateValues[] = {ClaimState::kClaimed, ClaimState::kDone,
-                            ClaimState::kNotRun};
-const char* _kClaimStateNames[] = {"kClaimed", "kDone", "kNotRun"};
-const std::map<int, const char*> _ClaimState_VALUES_TO_NAMES(
-    ::apache::thrift::TEnumIterator(3, _kClaimStateValues, _kClaimStateNames),
-    ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+int _kClaimStateValues[] = {
+  ClaimState::kClaimed,
+  ClaimState::kDone,
+  ClaimState::kNotRun
+};
+const char* _kClaimStateNames[] = {
+  "kClaimed",
+  "kDone",
+  "kNotRun"
+};
+const std::map<int, const char*> _ClaimState_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kClaimStateValues, _kClaimStateNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const ClaimState::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _ClaimState_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _ClaimState_VALUES_TO_NAMES.find(val);
   if (it != _ClaimState_VALUES_TO_NAMES.end()) {
     out << it->second;
   } else {
@@ -210,8 +252,7 @@
 }
 
 std::string to_string(const ClaimState::type& val) {
-  std::map<int, const char*>::const_iterator it =
-      _ClaimState_VALUES_TO_NAMES.find(val);
+  std::map<int, const char*>::const_iterator it = _ClaimState_VALUES_TO_NAMES.find(val);
   if (it != _ClaimState_VALUES_TO_NAMES.end()) {
     return std::string(it->second);
   } else {
@@ -219,7 +260,10 @@
   }
 }
 
-Id::~Id() noexcept {}
+
+Id::~Id() noexcept {
+}
+
 
 void Id::__set_high(const int64_t val) {
   this->high = val;
@@ -228,12 +272,15 @@
 void Id::__set_low(const int64_t val) {
   this->low = val;
 }
-std::ostream& operator<<(std::ostream& out, const Id& obj) {
+std::ostream& operator<<(std::ostream& out, const Id& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t Id::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -244,12 +291,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->high);
@@ -296,7 +346,7 @@
   return xfer;
 }
 
-void swap(Id& a, Id& b) {
+void swap(Id &a, Id &b) {
   using ::std::swap;
   swap(a.high, b.high);
   swap(a.low, b.low);
@@ -329,12 +379,14 @@
   using ::apache::thrift::to_string;
   out << "Id(";
   out << "high=" << to_string(high);
-  out << ", "
-      << "low=" << to_string(low);
+  out << ", " << "low=" << to_string(low);
   out << ")";
 }
 
-Hello::~Hello() noexcept {}
+
+Hello::~Hello() noexcept {
+}
+
 
 void Hello::__set_protocol(const int32_t val) {
   this->protocol = val;
@@ -355,12 +407,15 @@
 void Hello::__set_config_version(const int64_t val) {
   this->config_version = val;
 }
-std::ostream& operator<<(std::ostream& out, const Hello& obj) {
+std::ostream& operator<<(std::ostream& out, const Hello& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t Hello::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -371,12 +426,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->protocol);
@@ -434,28 +492,23 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Hello");
 
-  xfer +=
-      oprot->writeFieldBegin("protocol", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeFieldBegin("protocol", ::apache::thrift::protocol::T_I32, 1);
   xfer += oprot->writeI32(this->protocol);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("instance",
-                                 ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->instance);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("data_centre",
-                                 ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 3);
   xfer += oprot->writeString(this->data_centre);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("incarnation",
-                                 ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("config_version",
-                                 ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 5);
   xfer += oprot->writeI64(this->config_version);
   xfer += oprot->writeFieldEnd();
 
@@ -464,7 +517,7 @@
   return xfer;
 }
 
-void swap(Hello& a, Hello& b) {
+void swap(Hello &a, Hello &b) {
   using ::std::swap;
   swap(a.protocol, b.protocol);
   swap(a.instance, b.instance);
@@ -512,18 +565,17 @@
   using ::apache::thrift::to_string;
   out << "Hello(";
   out << "protocol=" << to_string(protocol);
-  out << ", "
-      << "instance=" << to_string(instance);
-  out << ", "
-      << "data_centre=" << to_string(data_centre);
-  out << ", "
-      << "incarnation=" << to_string(incarnation);
-  out << ", "
-      << "config_version=" << to_string(config_version);
+  out << ", " << "instance=" << to_string(instance);
+  out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "config_version=" << to_string(config_version);
   out << ")";
 }
 
-ProbeRequest::~ProbeRequest() noexcept {}
+
+ProbeRequest::~ProbeRequest() noexcept {
+}
+
 
 void ProbeRequest::__set_probe_id(const int64_t val) {
   this->probe_id = val;
@@ -533,19 +585,22 @@
   this->organisation = val;
 }
 
-void ProbeRequest::__set_prefix_keys(const std::vector<int64_t>& val) {
+void ProbeRequest::__set_prefix_keys(const std::vector<int64_t> & val) {
   this->prefix_keys = val;
 }
 
 void ProbeRequest::__set_prompt_tokens(const int64_t val) {
   this->prompt_tokens = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProbeRequest& obj) {
+std::ostream& operator<<(std::ostream& out, const ProbeRequest& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ProbeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -556,12 +611,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->probe_id);
@@ -587,7 +645,8 @@
             xfer += iprot->readListBegin(_etype11, _size8);
             this->prefix_keys.resize(_size8);
             uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12) {
+            for (_i12 = 0; _i12 < _size8; ++_i12)
+            {
               xfer += iprot->readI64(this->prefix_keys[_i12]);
             }
             xfer += iprot->readListEnd();
@@ -617,39 +676,32 @@
   return xfer;
 }
 
-uint32_t ProbeRequest::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ProbeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ProbeRequest");
 
-  xfer +=
-      oprot->writeFieldBegin("probe_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("probe_id", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->probe_id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("organisation",
-                                 ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->organisation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prefix_keys",
-                                 ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("prefix_keys", ::apache::thrift::protocol::T_LIST, 3);
   {
-    xfer +=
-        oprot->writeListBegin(::apache::thrift::protocol::T_I64,
-                              static_cast<uint32_t>(this->prefix_keys.size()));
-    std::vector<int64_t>::const_iterator _iter13;
-    for (_iter13 = this->prefix_keys.begin();
-         _iter13 != this->prefix_keys.end(); ++_iter13) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->prefix_keys.size()));
+    std::vector<int64_t> ::const_iterator _iter13;
+    for (_iter13 = this->prefix_keys.begin(); _iter13 != this->prefix_keys.end(); ++_iter13)
+    {
       xfer += oprot->writeI64((*_iter13));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prompt_tokens",
-                                 ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->prompt_tokens);
   xfer += oprot->writeFieldEnd();
 
@@ -658,7 +710,7 @@
   return xfer;
 }
 
-void swap(ProbeRequest& a, ProbeRequest& b) {
+void swap(ProbeRequest &a, ProbeRequest &b) {
   using ::std::swap;
   swap(a.probe_id, b.probe_id);
   swap(a.organisation, b.organisation);
@@ -701,16 +753,16 @@
   using ::apache::thrift::to_string;
   out << "ProbeRequest(";
   out << "probe_id=" << to_string(probe_id);
-  out << ", "
-      << "organisation=" << to_string(organisation);
-  out << ", "
-      << "prefix_keys=" << to_string(prefix_keys);
-  out << ", "
-      << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ", " << "organisation=" << to_string(organisation);
+  out << ", " << "prefix_keys=" << to_string(prefix_keys);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
   out << ")";
 }
 
-ProbeReply::~ProbeReply() noexcept {}
+
+ProbeReply::~ProbeReply() noexcept {
+}
+
 
 void ProbeReply::__set_probe_id(const int64_t val) {
   this->probe_id = val;
@@ -755,12 +807,15 @@
 void ProbeReply::__set_long_in_flight(const int32_t val) {
   this->long_in_flight = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProbeReply& obj) {
+std::ostream& operator<<(std::ostream& out, const ProbeReply& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ProbeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -771,12 +826,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->probe_id);
@@ -882,58 +940,47 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ProbeReply");
 
-  xfer +=
-      oprot->writeFieldBegin("probe_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("probe_id", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->probe_id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("engine_incarnation",
-                                 ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeFieldBegin("engine_incarnation", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->engine_incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("weights_version",
-                                 ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("weights_version", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->weights_version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("held_pieces",
-                                 ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeFieldBegin("held_pieces", ::apache::thrift::protocol::T_I32, 4);
   xfer += oprot->writeI32(this->held_pieces);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_I32, 5);
   xfer += oprot->writeI32(this->in_flight);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("queued", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeFieldBegin("queued", ::apache::thrift::protocol::T_I32, 6);
   xfer += oprot->writeI32(this->queued);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("wait_us", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeFieldBegin("wait_us", ::apache::thrift::protocol::T_I64, 7);
   xfer += oprot->writeI64(this->wait_us);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 8);
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prefill_us_per_piece",
-                                 ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeFieldBegin("prefill_us_per_piece", ::apache::thrift::protocol::T_I64, 9);
   xfer += oprot->writeI64(this->prefill_us_per_piece);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("slowness",
-                                 ::apache::thrift::protocol::T_DOUBLE, 10);
+  xfer += oprot->writeFieldBegin("slowness", ::apache::thrift::protocol::T_DOUBLE, 10);
   xfer += oprot->writeDouble(this->slowness);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("long_in_flight",
-                                 ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeFieldBegin("long_in_flight", ::apache::thrift::protocol::T_I32, 11);
   xfer += oprot->writeI32(this->long_in_flight);
   xfer += oprot->writeFieldEnd();
 
@@ -942,7 +989,7 @@
   return xfer;
 }
 
-void swap(ProbeReply& a, ProbeReply& b) {
+void swap(ProbeReply &a, ProbeReply &b) {
   using ::std::swap;
   swap(a.probe_id, b.probe_id);
   swap(a.engine_incarnation, b.engine_incarnation);
@@ -1020,30 +1067,23 @@
   using ::apache::thrift::to_string;
   out << "ProbeReply(";
   out << "probe_id=" << to_string(probe_id);
-  out << ", "
-      << "engine_incarnation=" << to_string(engine_incarnation);
-  out << ", "
-      << "weights_version=" << to_string(weights_version);
-  out << ", "
-      << "held_pieces=" << to_string(held_pieces);
-  out << ", "
-      << "in_flight=" << to_string(in_flight);
-  out << ", "
-      << "queued=" << to_string(queued);
-  out << ", "
-      << "wait_us=" << to_string(wait_us);
-  out << ", "
-      << "leaving=" << to_string(leaving);
-  out << ", "
-      << "prefill_us_per_piece=" << to_string(prefill_us_per_piece);
-  out << ", "
-      << "slowness=" << to_string(slowness);
-  out << ", "
-      << "long_in_flight=" << to_string(long_in_flight);
+  out << ", " << "engine_incarnation=" << to_string(engine_incarnation);
+  out << ", " << "weights_version=" << to_string(weights_version);
+  out << ", " << "held_pieces=" << to_string(held_pieces);
+  out << ", " << "in_flight=" << to_string(in_flight);
+  out << ", " << "queued=" << to_string(queued);
+  out << ", " << "wait_us=" << to_string(wait_us);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "prefill_us_per_piece=" << to_string(prefill_us_per_piece);
+  out << ", " << "slowness=" << to_string(slowness);
+  out << ", " << "long_in_flight=" << to_string(long_in_flight);
   out << ")";
 }
 
-Dispatch::~Dispatch() noexcept {}
+
+Dispatch::~Dispatch() noexcept {
+}
+
 
 void Dispatch::__set_request_id(const Id& val) {
   this->request_id = val;
@@ -1085,7 +1125,7 @@
   this->body = val;
 }
 
-void Dispatch::__set_prefix_keys(const std::vector<int64_t>& val) {
+void Dispatch::__set_prefix_keys(const std::vector<int64_t> & val) {
   this->prefix_keys = val;
 }
 
@@ -1148,12 +1188,15 @@
 void Dispatch::__set_import_from(const std::string& val) {
   this->import_from = val;
 }
-std::ostream& operator<<(std::ostream& out, const Dispatch& obj) {
+std::ostream& operator<<(std::ostream& out, const Dispatch& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t Dispatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -1164,12 +1207,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->request_id.read(iprot);
@@ -1259,7 +1305,8 @@
             xfer += iprot->readListBegin(_etype25, _size22);
             this->prefix_keys.resize(_size22);
             uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26) {
+            for (_i26 = 0; _i26 < _size22; ++_i26)
+            {
               xfer += iprot->readI64(this->prefix_keys[_i26]);
             }
             xfer += iprot->readListEnd();
@@ -1406,143 +1453,115 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Dispatch");
 
-  xfer += oprot->writeFieldBegin("request_id",
-                                 ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->request_id.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
   xfer += oprot->writeI32(this->attempt);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("config_version",
-                                 ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->config_version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("organisation",
-                                 ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 4);
   xfer += oprot->writeString(this->organisation);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 5);
   xfer += oprot->writeString(this->kind);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 6);
   xfer += oprot->writeString(this->target);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("method", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeFieldBegin("method", ::apache::thrift::protocol::T_STRING, 7);
   xfer += oprot->writeString(this->method);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRING, 8);
   xfer += oprot->writeString(this->path);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("content_type",
-                                 ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeFieldBegin("content_type", ::apache::thrift::protocol::T_STRING, 9);
   xfer += oprot->writeString(this->content_type);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 10);
   xfer += oprot->writeBinary(this->body);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prefix_keys",
-                                 ::apache::thrift::protocol::T_LIST, 11);
+  xfer += oprot->writeFieldBegin("prefix_keys", ::apache::thrift::protocol::T_LIST, 11);
   {
-    xfer +=
-        oprot->writeListBegin(::apache::thrift::protocol::T_I64,
-                              static_cast<uint32_t>(this->prefix_keys.size()));
-    std::vector<int64_t>::const_iterator _iter27;
-    for (_iter27 = this->prefix_keys.begin();
-         _iter27 != this->prefix_keys.end(); ++_iter27) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->prefix_keys.size()));
+    std::vector<int64_t> ::const_iterator _iter27;
+    for (_iter27 = this->prefix_keys.begin(); _iter27 != this->prefix_keys.end(); ++_iter27)
+    {
       xfer += oprot->writeI64((*_iter27));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("engine_incarnation",
-                                 ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeFieldBegin("engine_incarnation", ::apache::thrift::protocol::T_I64, 12);
   xfer += oprot->writeI64(this->engine_incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("weights_version",
-                                 ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeFieldBegin("weights_version", ::apache::thrift::protocol::T_I64, 13);
   xfer += oprot->writeI64(this->weights_version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("streamed", ::apache::thrift::protocol::T_BOOL,
-                                 14);
+  xfer += oprot->writeFieldBegin("streamed", ::apache::thrift::protocol::T_BOOL, 14);
   xfer += oprot->writeBool(this->streamed);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("resume_position",
-                                 ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeFieldBegin("resume_position", ::apache::thrift::protocol::T_I64, 15);
   xfer += oprot->writeI64(this->resume_position);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("repeatable",
-                                 ::apache::thrift::protocol::T_BOOL, 16);
+  xfer += oprot->writeFieldBegin("repeatable", ::apache::thrift::protocol::T_BOOL, 16);
   xfer += oprot->writeBool(this->repeatable);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("idempotency_key",
-                                 ::apache::thrift::protocol::T_STRING, 17);
+  xfer += oprot->writeFieldBegin("idempotency_key", ::apache::thrift::protocol::T_STRING, 17);
   xfer += oprot->writeString(this->idempotency_key);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("wait_limit_us",
-                                 ::apache::thrift::protocol::T_I64, 18);
+  xfer += oprot->writeFieldBegin("wait_limit_us", ::apache::thrift::protocol::T_I64, 18);
   xfer += oprot->writeI64(this->wait_limit_us);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prompt_tokens",
-                                 ::apache::thrift::protocol::T_I64, 19);
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 19);
   xfer += oprot->writeI64(this->prompt_tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("output_tokens",
-                                 ::apache::thrift::protocol::T_I64, 20);
+  xfer += oprot->writeFieldBegin("output_tokens", ::apache::thrift::protocol::T_I64, 20);
   xfer += oprot->writeI64(this->output_tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("traceparent",
-                                 ::apache::thrift::protocol::T_STRING, 21);
+  xfer += oprot->writeFieldBegin("traceparent", ::apache::thrift::protocol::T_STRING, 21);
   xfer += oprot->writeString(this->traceparent);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("second_attempt",
-                                 ::apache::thrift::protocol::T_BOOL, 22);
+  xfer += oprot->writeFieldBegin("second_attempt", ::apache::thrift::protocol::T_BOOL, 22);
   xfer += oprot->writeBool(this->second_attempt);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("weight", ::apache::thrift::protocol::T_DOUBLE,
-                                 23);
+  xfer += oprot->writeFieldBegin("weight", ::apache::thrift::protocol::T_DOUBLE, 23);
   xfer += oprot->writeDouble(this->weight);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("long_work",
-                                 ::apache::thrift::protocol::T_BOOL, 24);
+  xfer += oprot->writeFieldBegin("long_work", ::apache::thrift::protocol::T_BOOL, 24);
   xfer += oprot->writeBool(this->long_work);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 25);
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 25);
   xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("import_from",
-                                 ::apache::thrift::protocol::T_STRING, 26);
+  xfer += oprot->writeFieldBegin("import_from", ::apache::thrift::protocol::T_STRING, 26);
   xfer += oprot->writeString(this->import_from);
   xfer += oprot->writeFieldEnd();
 
@@ -1551,7 +1570,7 @@
   return xfer;
 }
 
-void swap(Dispatch& a, Dispatch& b) {
+void swap(Dispatch &a, Dispatch &b) {
   using ::std::swap;
   swap(a.request_id, b.request_id);
   swap(a.attempt, b.attempt);
@@ -1704,60 +1723,38 @@
   using ::apache::thrift::to_string;
   out << "Dispatch(";
   out << "request_id=" << to_string(request_id);
-  out << ", "
-      << "attempt=" << to_string(attempt);
-  out << ", "
-      << "config_version=" << to_string(config_version);
-  out << ", "
-      << "organisation=" << to_string(organisation);
-  out << ", "
-      << "kind=" << to_string(kind);
-  out << ", "
-      << "target=" << to_string(target);
-  out << ", "
-      << "method=" << to_string(method);
-  out << ", "
-      << "path=" << to_string(path);
-  out << ", "
-      << "content_type=" << to_string(content_type);
-  out << ", "
-      << "body=" << to_string(body);
-  out << ", "
-      << "prefix_keys=" << to_string(prefix_keys);
-  out << ", "
-      << "engine_incarnation=" << to_string(engine_incarnation);
-  out << ", "
-      << "weights_version=" << to_string(weights_version);
-  out << ", "
-      << "streamed=" << to_string(streamed);
-  out << ", "
-      << "resume_position=" << to_string(resume_position);
-  out << ", "
-      << "repeatable=" << to_string(repeatable);
-  out << ", "
-      << "idempotency_key=" << to_string(idempotency_key);
-  out << ", "
-      << "wait_limit_us=" << to_string(wait_limit_us);
-  out << ", "
-      << "prompt_tokens=" << to_string(prompt_tokens);
-  out << ", "
-      << "output_tokens=" << to_string(output_tokens);
-  out << ", "
-      << "traceparent=" << to_string(traceparent);
-  out << ", "
-      << "second_attempt=" << to_string(second_attempt);
-  out << ", "
-      << "weight=" << to_string(weight);
-  out << ", "
-      << "long_work=" << to_string(long_work);
-  out << ", "
-      << "priority=" << to_string(priority);
-  out << ", "
-      << "import_from=" << to_string(import_from);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "config_version=" << to_string(config_version);
+  out << ", " << "organisation=" << to_string(organisation);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "method=" << to_string(method);
+  out << ", " << "path=" << to_string(path);
+  out << ", " << "content_type=" << to_string(content_type);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "prefix_keys=" << to_string(prefix_keys);
+  out << ", " << "engine_incarnation=" << to_string(engine_incarnation);
+  out << ", " << "weights_version=" << to_string(weights_version);
+  out << ", " << "streamed=" << to_string(streamed);
+  out << ", " << "resume_position=" << to_string(resume_position);
+  out << ", " << "repeatable=" << to_string(repeatable);
+  out << ", " << "idempotency_key=" << to_string(idempotency_key);
+  out << ", " << "wait_limit_us=" << to_string(wait_limit_us);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ", " << "output_tokens=" << to_string(output_tokens);
+  out << ", " << "traceparent=" << to_string(traceparent);
+  out << ", " << "second_attempt=" << to_string(second_attempt);
+  out << ", " << "weight=" << to_string(weight);
+  out << ", " << "long_work=" << to_string(long_work);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "import_from=" << to_string(import_from);
   out << ")";
 }
 
-ReplyHead::~ReplyHead() noexcept {}
+
+ReplyHead::~ReplyHead() noexcept {
+}
+
 
 void ReplyHead::__set_request_id(const Id& val) {
   this->request_id = val;
@@ -1786,12 +1783,15 @@
 void ReplyHead::__set_replayed(const bool val) {
   this->replayed = val;
 }
-std::ostream& operator<<(std::ostream& out, const ReplyHead& obj) {
+std::ostream& operator<<(std::ostream& out, const ReplyHead& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ReplyHead::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -1802,12 +1802,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->request_id.read(iprot);
@@ -1881,38 +1884,31 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ReplyHead");
 
-  xfer += oprot->writeFieldBegin("request_id",
-                                 ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->request_id.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
   xfer += oprot->writeI32(this->attempt);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 4);
   xfer += oprot->writeI32(this->status);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("content_type",
-                                 ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeFieldBegin("content_type", ::apache::thrift::protocol::T_STRING, 5);
   xfer += oprot->writeString(this->content_type);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 6);
   xfer += oprot->writeI64(this->position);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("replayed", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeFieldBegin("replayed", ::apache::thrift::protocol::T_BOOL, 7);
   xfer += oprot->writeBool(this->replayed);
   xfer += oprot->writeFieldEnd();
 
@@ -1921,7 +1917,7 @@
   return xfer;
 }
 
-void swap(ReplyHead& a, ReplyHead& b) {
+void swap(ReplyHead &a, ReplyHead &b) {
   using ::std::swap;
   swap(a.request_id, b.request_id);
   swap(a.attempt, b.attempt);
@@ -1979,22 +1975,19 @@
   using ::apache::thrift::to_string;
   out << "ReplyHead(";
   out << "request_id=" << to_string(request_id);
-  out << ", "
-      << "attempt=" << to_string(attempt);
-  out << ", "
-      << "sequence=" << to_string(sequence);
-  out << ", "
-      << "status=" << to_string(status);
-  out << ", "
-      << "content_type=" << to_string(content_type);
-  out << ", "
-      << "position=" << to_string(position);
-  out << ", "
-      << "replayed=" << to_string(replayed);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "content_type=" << to_string(content_type);
+  out << ", " << "position=" << to_string(position);
+  out << ", " << "replayed=" << to_string(replayed);
   out << ")";
 }
 
-ReplyChunk::~ReplyChunk() noexcept {}
+
+ReplyChunk::~ReplyChunk() noexcept {
+}
+
 
 void ReplyChunk::__set_request_id(const Id& val) {
   this->request_id = val;
@@ -2015,12 +2008,15 @@
 void ReplyChunk::__set_data(const std::string& val) {
   this->data = val;
 }
-std::ostream& operator<<(std::ostream& out, const ReplyChunk& obj) {
+std::ostream& operator<<(std::ostream& out, const ReplyChunk& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ReplyChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -2031,12 +2027,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->request_id.read(iprot);
@@ -2094,28 +2093,23 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ReplyChunk");
 
-  xfer += oprot->writeFieldBegin("request_id",
-                                 ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->request_id.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
   xfer += oprot->writeI32(this->attempt);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->position);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 5);
   xfer += oprot->writeBinary(this->data);
   xfer += oprot->writeFieldEnd();
 
@@ -2124,7 +2118,7 @@
   return xfer;
 }
 
-void swap(ReplyChunk& a, ReplyChunk& b) {
+void swap(ReplyChunk &a, ReplyChunk &b) {
   using ::std::swap;
   swap(a.request_id, b.request_id);
   swap(a.attempt, b.attempt);
@@ -2172,18 +2166,17 @@
   using ::apache::thrift::to_string;
   out << "ReplyChunk(";
   out << "request_id=" << to_string(request_id);
-  out << ", "
-      << "attempt=" << to_string(attempt);
-  out << ", "
-      << "sequence=" << to_string(sequence);
-  out << ", "
-      << "position=" << to_string(position);
-  out << ", "
-      << "data=" << to_string(data);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "position=" << to_string(position);
+  out << ", " << "data=" << to_string(data);
   out << ")";
 }
 
-ReplyEnd::~ReplyEnd() noexcept {}
+
+ReplyEnd::~ReplyEnd() noexcept {
+}
+
 
 void ReplyEnd::__set_request_id(const Id& val) {
   this->request_id = val;
@@ -2232,12 +2225,15 @@
 void ReplyEnd::__set_first_token_us(const int64_t val) {
   this->first_token_us = val;
 }
-std::ostream& operator<<(std::ostream& out, const ReplyEnd& obj) {
+std::ostream& operator<<(std::ostream& out, const ReplyEnd& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ReplyEnd::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -2248,12 +2244,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->request_id.read(iprot);
@@ -2371,63 +2370,51 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ReplyEnd");
 
-  xfer += oprot->writeFieldBegin("request_id",
-                                 ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->request_id.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
   xfer += oprot->writeI32(this->attempt);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->position);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 5);
   xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_I32, 6);
   xfer += oprot->writeI32(static_cast<int32_t>(this->reason));
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("detail", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeFieldBegin("detail", ::apache::thrift::protocol::T_STRING, 7);
   xfer += oprot->writeString(this->detail);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("cached_tokens",
-                                 ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeFieldBegin("cached_tokens", ::apache::thrift::protocol::T_I64, 8);
   xfer += oprot->writeI64(this->cached_tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prefill_tokens",
-                                 ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeFieldBegin("prefill_tokens", ::apache::thrift::protocol::T_I64, 9);
   xfer += oprot->writeI64(this->prefill_tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("output_tokens",
-                                 ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeFieldBegin("output_tokens", ::apache::thrift::protocol::T_I64, 10);
   xfer += oprot->writeI64(this->output_tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("queue_us", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeFieldBegin("queue_us", ::apache::thrift::protocol::T_I64, 11);
   xfer += oprot->writeI64(this->queue_us);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("first_token_us",
-                                 ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeFieldBegin("first_token_us", ::apache::thrift::protocol::T_I64, 12);
   xfer += oprot->writeI64(this->first_token_us);
   xfer += oprot->writeFieldEnd();
 
@@ -2436,7 +2423,7 @@
   return xfer;
 }
 
-void swap(ReplyEnd& a, ReplyEnd& b) {
+void swap(ReplyEnd &a, ReplyEnd &b) {
   using ::std::swap;
   swap(a.request_id, b.request_id);
   swap(a.attempt, b.attempt);
@@ -2519,32 +2506,24 @@
   using ::apache::thrift::to_string;
   out << "ReplyEnd(";
   out << "request_id=" << to_string(request_id);
-  out << ", "
-      << "attempt=" << to_string(attempt);
-  out << ", "
-      << "sequence=" << to_string(sequence);
-  out << ", "
-      << "position=" << to_string(position);
-  out << ", "
-      << "outcome=" << to_string(outcome);
-  out << ", "
-      << "reason=" << to_string(reason);
-  out << ", "
-      << "detail=" << to_string(detail);
-  out << ", "
-      << "cached_tokens=" << to_string(cached_tokens);
-  out << ", "
-      << "prefill_tokens=" << to_string(prefill_tokens);
-  out << ", "
-      << "output_tokens=" << to_string(output_tokens);
-  out << ", "
-      << "queue_us=" << to_string(queue_us);
-  out << ", "
-      << "first_token_us=" << to_string(first_token_us);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "position=" << to_string(position);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "detail=" << to_string(detail);
+  out << ", " << "cached_tokens=" << to_string(cached_tokens);
+  out << ", " << "prefill_tokens=" << to_string(prefill_tokens);
+  out << ", " << "output_tokens=" << to_string(output_tokens);
+  out << ", " << "queue_us=" << to_string(queue_us);
+  out << ", " << "first_token_us=" << to_string(first_token_us);
   out << ")";
 }
 
-Refusal::~Refusal() noexcept {}
+
+Refusal::~Refusal() noexcept {
+}
+
 
 void Refusal::__set_request_id(const Id& val) {
   this->request_id = val;
@@ -2573,12 +2552,15 @@
 void Refusal::__set_config_version(const int64_t val) {
   this->config_version = val;
 }
-std::ostream& operator<<(std::ostream& out, const Refusal& obj) {
+std::ostream& operator<<(std::ostream& out, const Refusal& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t Refusal::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -2589,12 +2571,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->request_id.read(iprot);
@@ -2672,38 +2657,31 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Refusal");
 
-  xfer += oprot->writeFieldBegin("request_id",
-                                 ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->request_id.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
   xfer += oprot->writeI32(this->attempt);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 3);
   xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_I32, 4);
   xfer += oprot->writeI32(static_cast<int32_t>(this->reason));
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("detail", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeFieldBegin("detail", ::apache::thrift::protocol::T_STRING, 5);
   xfer += oprot->writeString(this->detail);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("retry_after_ms",
-                                 ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I64, 6);
   xfer += oprot->writeI64(this->retry_after_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("config_version",
-                                 ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 7);
   xfer += oprot->writeI64(this->config_version);
   xfer += oprot->writeFieldEnd();
 
@@ -2712,7 +2690,7 @@
   return xfer;
 }
 
-void swap(Refusal& a, Refusal& b) {
+void swap(Refusal &a, Refusal &b) {
   using ::std::swap;
   swap(a.request_id, b.request_id);
   swap(a.attempt, b.attempt);
@@ -2770,22 +2748,19 @@
   using ::apache::thrift::to_string;
   out << "Refusal(";
   out << "request_id=" << to_string(request_id);
-  out << ", "
-      << "attempt=" << to_string(attempt);
-  out << ", "
-      << "outcome=" << to_string(outcome);
-  out << ", "
-      << "reason=" << to_string(reason);
-  out << ", "
-      << "detail=" << to_string(detail);
-  out << ", "
-      << "retry_after_ms=" << to_string(retry_after_ms);
-  out << ", "
-      << "config_version=" << to_string(config_version);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "detail=" << to_string(detail);
+  out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
+  out << ", " << "config_version=" << to_string(config_version);
   out << ")";
 }
 
-Cancel::~Cancel() noexcept {}
+
+Cancel::~Cancel() noexcept {
+}
+
 
 void Cancel::__set_request_id(const Id& val) {
   this->request_id = val;
@@ -2794,12 +2769,15 @@
 void Cancel::__set_attempt(const int32_t val) {
   this->attempt = val;
 }
-std::ostream& operator<<(std::ostream& out, const Cancel& obj) {
+std::ostream& operator<<(std::ostream& out, const Cancel& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t Cancel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -2810,12 +2788,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->request_id.read(iprot);
@@ -2849,13 +2830,11 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Cancel");
 
-  xfer += oprot->writeFieldBegin("request_id",
-                                 ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->request_id.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
   xfer += oprot->writeI32(this->attempt);
   xfer += oprot->writeFieldEnd();
 
@@ -2864,7 +2843,7 @@
   return xfer;
 }
 
-void swap(Cancel& a, Cancel& b) {
+void swap(Cancel &a, Cancel &b) {
   using ::std::swap;
   swap(a.request_id, b.request_id);
   swap(a.attempt, b.attempt);
@@ -2897,12 +2876,14 @@
   using ::apache::thrift::to_string;
   out << "Cancel(";
   out << "request_id=" << to_string(request_id);
-  out << ", "
-      << "attempt=" << to_string(attempt);
+  out << ", " << "attempt=" << to_string(attempt);
   out << ")";
 }
 
-CancelResult::~CancelResult() noexcept {}
+
+CancelResult::~CancelResult() noexcept {
+}
+
 
 void CancelResult::__set_request_id(const Id& val) {
   this->request_id = val;
@@ -2919,12 +2900,15 @@
 void CancelResult::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
-std::ostream& operator<<(std::ostream& out, const CancelResult& obj) {
+std::ostream& operator<<(std::ostream& out, const CancelResult& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t CancelResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -2935,12 +2919,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->request_id.read(iprot);
@@ -2987,29 +2974,24 @@
   return xfer;
 }
 
-uint32_t CancelResult::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t CancelResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("CancelResult");
 
-  xfer += oprot->writeFieldBegin("request_id",
-                                 ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->request_id.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
   xfer += oprot->writeI32(this->attempt);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 3);
   xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("incarnation",
-                                 ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
@@ -3018,7 +3000,7 @@
   return xfer;
 }
 
-void swap(CancelResult& a, CancelResult& b) {
+void swap(CancelResult &a, CancelResult &b) {
   using ::std::swap;
   swap(a.request_id, b.request_id);
   swap(a.attempt, b.attempt);
@@ -3061,16 +3043,16 @@
   using ::apache::thrift::to_string;
   out << "CancelResult(";
   out << "request_id=" << to_string(request_id);
-  out << ", "
-      << "attempt=" << to_string(attempt);
-  out << ", "
-      << "outcome=" << to_string(outcome);
-  out << ", "
-      << "incarnation=" << to_string(incarnation);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "incarnation=" << to_string(incarnation);
   out << ")";
 }
 
-StreamCredit::~StreamCredit() noexcept {}
+
+StreamCredit::~StreamCredit() noexcept {
+}
+
 
 void StreamCredit::__set_request_id(const Id& val) {
   this->request_id = val;
@@ -3083,12 +3065,15 @@
 void StreamCredit::__set_position(const int64_t val) {
   this->position = val;
 }
-std::ostream& operator<<(std::ostream& out, const StreamCredit& obj) {
+std::ostream& operator<<(std::ostream& out, const StreamCredit& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t StreamCredit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -3099,12 +3084,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->request_id.read(iprot);
@@ -3141,24 +3129,20 @@
   return xfer;
 }
 
-uint32_t StreamCredit::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StreamCredit::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("StreamCredit");
 
-  xfer += oprot->writeFieldBegin("request_id",
-                                 ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->request_id.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 2);
   xfer += oprot->writeI32(this->attempt);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->position);
   xfer += oprot->writeFieldEnd();
 
@@ -3167,7 +3151,7 @@
   return xfer;
 }
 
-void swap(StreamCredit& a, StreamCredit& b) {
+void swap(StreamCredit &a, StreamCredit &b) {
   using ::std::swap;
   swap(a.request_id, b.request_id);
   swap(a.attempt, b.attempt);
@@ -3205,14 +3189,15 @@
   using ::apache::thrift::to_string;
   out << "StreamCredit(";
   out << "request_id=" << to_string(request_id);
-  out << ", "
-      << "attempt=" << to_string(attempt);
-  out << ", "
-      << "position=" << to_string(position);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "position=" << to_string(position);
   out << ")";
 }
 
-Attach::~Attach() noexcept {}
+
+Attach::~Attach() noexcept {
+}
+
 
 void Attach::__set_request_id(const Id& val) {
   this->request_id = val;
@@ -3229,12 +3214,15 @@
 void Attach::__set_attempt(const int32_t val) {
   this->attempt = val;
 }
-std::ostream& operator<<(std::ostream& out, const Attach& obj) {
+std::ostream& operator<<(std::ostream& out, const Attach& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t Attach::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -3245,12 +3233,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->request_id.read(iprot);
@@ -3300,23 +3291,19 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Attach");
 
-  xfer += oprot->writeFieldBegin("request_id",
-                                 ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->request_id.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("organisation",
-                                 ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->organisation);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->position);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 4);
   xfer += oprot->writeI32(this->attempt);
   xfer += oprot->writeFieldEnd();
 
@@ -3325,7 +3312,7 @@
   return xfer;
 }
 
-void swap(Attach& a, Attach& b) {
+void swap(Attach &a, Attach &b) {
   using ::std::swap;
   swap(a.request_id, b.request_id);
   swap(a.organisation, b.organisation);
@@ -3368,16 +3355,16 @@
   using ::apache::thrift::to_string;
   out << "Attach(";
   out << "request_id=" << to_string(request_id);
-  out << ", "
-      << "organisation=" << to_string(organisation);
-  out << ", "
-      << "position=" << to_string(position);
-  out << ", "
-      << "attempt=" << to_string(attempt);
+  out << ", " << "organisation=" << to_string(organisation);
+  out << ", " << "position=" << to_string(position);
+  out << ", " << "attempt=" << to_string(attempt);
   out << ")";
 }
 
-ConfigSection::~ConfigSection() noexcept {}
+
+ConfigSection::~ConfigSection() noexcept {
+}
+
 
 void ConfigSection::__set_name(const std::string& val) {
   this->name = val;
@@ -3402,12 +3389,15 @@
 void ConfigSection::__set_checksum(const int32_t val) {
   this->checksum = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigSection& obj) {
+std::ostream& operator<<(std::ostream& out, const ConfigSection& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ConfigSection::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -3418,12 +3408,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->name);
@@ -3484,39 +3477,32 @@
   return xfer;
 }
 
-uint32_t ConfigSection::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigSection::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ConfigSection");
 
-  xfer +=
-      oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("content",
-                                 ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeBinary(this->content);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 3);
   xfer += oprot->writeBool(this->removed);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("same_prefix",
-                                 ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeFieldBegin("same_prefix", ::apache::thrift::protocol::T_I32, 4);
   xfer += oprot->writeI32(this->same_prefix);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("same_suffix",
-                                 ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeFieldBegin("same_suffix", ::apache::thrift::protocol::T_I32, 5);
   xfer += oprot->writeI32(this->same_suffix);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("checksum", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeFieldBegin("checksum", ::apache::thrift::protocol::T_I32, 6);
   xfer += oprot->writeI32(this->checksum);
   xfer += oprot->writeFieldEnd();
 
@@ -3525,7 +3511,7 @@
   return xfer;
 }
 
-void swap(ConfigSection& a, ConfigSection& b) {
+void swap(ConfigSection &a, ConfigSection &b) {
   using ::std::swap;
   swap(a.name, b.name);
   swap(a.content, b.content);
@@ -3578,20 +3564,18 @@
   using ::apache::thrift::to_string;
   out << "ConfigSection(";
   out << "name=" << to_string(name);
-  out << ", "
-      << "content=" << to_string(content);
-  out << ", "
-      << "removed=" << to_string(removed);
-  out << ", "
-      << "same_prefix=" << to_string(same_prefix);
-  out << ", "
-      << "same_suffix=" << to_string(same_suffix);
-  out << ", "
-      << "checksum=" << to_string(checksum);
+  out << ", " << "content=" << to_string(content);
+  out << ", " << "removed=" << to_string(removed);
+  out << ", " << "same_prefix=" << to_string(same_prefix);
+  out << ", " << "same_suffix=" << to_string(same_suffix);
+  out << ", " << "checksum=" << to_string(checksum);
   out << ")";
 }
 
-ConfigChange::~ConfigChange() noexcept {}
+
+ConfigChange::~ConfigChange() noexcept {
+}
+
 
 void ConfigChange::__set_version(const int64_t val) {
   this->version = val;
@@ -3613,15 +3597,18 @@
   this->answers_digest = val;
 }
 
-void ConfigChange::__set_sections(const std::vector<ConfigSection>& val) {
+void ConfigChange::__set_sections(const std::vector<ConfigSection> & val) {
   this->sections = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigChange& obj) {
+std::ostream& operator<<(std::ostream& out, const ConfigChange& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ConfigChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -3632,12 +3619,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->version);
@@ -3687,7 +3677,8 @@
             xfer += iprot->readListBegin(_etype76, _size73);
             this->sections.resize(_size73);
             uint32_t _i77;
-            for (_i77 = 0; _i77 < _size73; ++_i77) {
+            for (_i77 = 0; _i77 < _size73; ++_i77)
+            {
               xfer += this->sections[_i77].read(iprot);
             }
             xfer += iprot->readListEnd();
@@ -3709,24 +3700,20 @@
   return xfer;
 }
 
-uint32_t ConfigChange::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ConfigChange");
 
-  xfer +=
-      oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("change_id",
-                                 ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += oprot->writeFieldBegin("change_id", ::apache::thrift::protocol::T_STRUCT, 2);
   xfer += this->change_id.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
   xfer += oprot->writeString(this->author);
   xfer += oprot->writeFieldEnd();
 
@@ -3734,19 +3721,16 @@
   xfer += oprot->writeI64(this->at_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answers_digest",
-                                 ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeFieldBegin("answers_digest", ::apache::thrift::protocol::T_STRING, 5);
   xfer += oprot->writeString(this->answers_digest);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("sections", ::apache::thrift::protocol::T_LIST, 6);
+  xfer += oprot->writeFieldBegin("sections", ::apache::thrift::protocol::T_LIST, 6);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT,
-                                  static_cast<uint32_t>(this->sections.size()));
-    std::vector<ConfigSection>::const_iterator _iter78;
-    for (_iter78 = this->sections.begin(); _iter78 != this->sections.end();
-         ++_iter78) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sections.size()));
+    std::vector<ConfigSection> ::const_iterator _iter78;
+    for (_iter78 = this->sections.begin(); _iter78 != this->sections.end(); ++_iter78)
+    {
       xfer += (*_iter78).write(oprot);
     }
     xfer += oprot->writeListEnd();
@@ -3758,7 +3742,7 @@
   return xfer;
 }
 
-void swap(ConfigChange& a, ConfigChange& b) {
+void swap(ConfigChange &a, ConfigChange &b) {
   using ::std::swap;
   swap(a.version, b.version);
   swap(a.change_id, b.change_id);
@@ -3811,20 +3795,18 @@
   using ::apache::thrift::to_string;
   out << "ConfigChange(";
   out << "version=" << to_string(version);
-  out << ", "
-      << "change_id=" << to_string(change_id);
-  out << ", "
-      << "author=" << to_string(author);
-  out << ", "
-      << "at_ms=" << to_string(at_ms);
-  out << ", "
-      << "answers_digest=" << to_string(answers_digest);
-  out << ", "
-      << "sections=" << to_string(sections);
+  out << ", " << "change_id=" << to_string(change_id);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "at_ms=" << to_string(at_ms);
+  out << ", " << "answers_digest=" << to_string(answers_digest);
+  out << ", " << "sections=" << to_string(sections);
   out << ")";
 }
 
-ConfigDigest::~ConfigDigest() noexcept {}
+
+ConfigDigest::~ConfigDigest() noexcept {
+}
+
 
 void ConfigDigest::__set_version(const int64_t val) {
   this->version = val;
@@ -3833,12 +3815,15 @@
 void ConfigDigest::__set_instance(const std::string& val) {
   this->instance = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigDigest& obj) {
+std::ostream& operator<<(std::ostream& out, const ConfigDigest& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ConfigDigest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -3849,12 +3834,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->version);
@@ -3883,19 +3871,16 @@
   return xfer;
 }
 
-uint32_t ConfigDigest::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigDigest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ConfigDigest");
 
-  xfer +=
-      oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("instance",
-                                 ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->instance);
   xfer += oprot->writeFieldEnd();
 
@@ -3904,7 +3889,7 @@
   return xfer;
 }
 
-void swap(ConfigDigest& a, ConfigDigest& b) {
+void swap(ConfigDigest &a, ConfigDigest &b) {
   using ::std::swap;
   swap(a.version, b.version);
   swap(a.instance, b.instance);
@@ -3937,22 +3922,27 @@
   using ::apache::thrift::to_string;
   out << "ConfigDigest(";
   out << "version=" << to_string(version);
-  out << ", "
-      << "instance=" << to_string(instance);
+  out << ", " << "instance=" << to_string(instance);
   out << ")";
 }
 
-ConfigPull::~ConfigPull() noexcept {}
+
+ConfigPull::~ConfigPull() noexcept {
+}
+
 
 void ConfigPull::__set_version(const int64_t val) {
   this->version = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigPull& obj) {
+std::ostream& operator<<(std::ostream& out, const ConfigPull& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ConfigPull::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -3963,12 +3953,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->version);
@@ -3994,8 +3987,7 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ConfigPull");
 
-  xfer +=
-      oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
@@ -4004,7 +3996,7 @@
   return xfer;
 }
 
-void swap(ConfigPull& a, ConfigPull& b) {
+void swap(ConfigPull &a, ConfigPull &b) {
   using ::std::swap;
   swap(a.version, b.version);
   swap(a.__isset, b.__isset);
@@ -4035,13 +4027,16 @@
   out << ")";
 }
 
-ConfigPush::~ConfigPush() noexcept {}
+
+ConfigPush::~ConfigPush() noexcept {
+}
+
 
 void ConfigPush::__set_snapshot(const bool val) {
   this->snapshot = val;
 }
 
-void ConfigPush::__set_changes(const std::vector<ConfigChange>& val) {
+void ConfigPush::__set_changes(const std::vector<ConfigChange> & val) {
   this->changes = val;
 }
 
@@ -4052,12 +4047,15 @@
 void ConfigPush::__set_pieces(const int32_t val) {
   this->pieces = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigPush& obj) {
+std::ostream& operator<<(std::ostream& out, const ConfigPush& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ConfigPush::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -4068,12 +4066,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->snapshot);
@@ -4091,7 +4092,8 @@
             xfer += iprot->readListBegin(_etype94, _size91);
             this->changes.resize(_size91);
             uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95) {
+            for (_i95 = 0; _i95 < _size91; ++_i95)
+            {
               xfer += this->changes[_i95].read(iprot);
             }
             xfer += iprot->readListEnd();
@@ -4134,19 +4136,16 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ConfigPush");
 
-  xfer +=
-      oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_BOOL, 1);
   xfer += oprot->writeBool(this->snapshot);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT,
-                                  static_cast<uint32_t>(this->changes.size()));
-    std::vector<ConfigChange>::const_iterator _iter96;
-    for (_iter96 = this->changes.begin(); _iter96 != this->changes.end();
-         ++_iter96) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<ConfigChange> ::const_iterator _iter96;
+    for (_iter96 = this->changes.begin(); _iter96 != this->changes.end(); ++_iter96)
+    {
       xfer += (*_iter96).write(oprot);
     }
     xfer += oprot->writeListEnd();
@@ -4157,8 +4156,7 @@
   xfer += oprot->writeI32(this->piece);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("pieces", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeFieldBegin("pieces", ::apache::thrift::protocol::T_I32, 4);
   xfer += oprot->writeI32(this->pieces);
   xfer += oprot->writeFieldEnd();
 
@@ -4167,7 +4165,7 @@
   return xfer;
 }
 
-void swap(ConfigPush& a, ConfigPush& b) {
+void swap(ConfigPush &a, ConfigPush &b) {
   using ::std::swap;
   swap(a.snapshot, b.snapshot);
   swap(a.changes, b.changes);
@@ -4210,16 +4208,16 @@
   using ::apache::thrift::to_string;
   out << "ConfigPush(";
   out << "snapshot=" << to_string(snapshot);
-  out << ", "
-      << "changes=" << to_string(changes);
-  out << ", "
-      << "piece=" << to_string(piece);
-  out << ", "
-      << "pieces=" << to_string(pieces);
+  out << ", " << "changes=" << to_string(changes);
+  out << ", " << "piece=" << to_string(piece);
+  out << ", " << "pieces=" << to_string(pieces);
   out << ")";
 }
 
-Member::~Member() noexcept {}
+
+Member::~Member() noexcept {
+}
+
 
 void Member::__set_instance(const std::string& val) {
   this->instance = val;
@@ -4264,12 +4262,15 @@
 void Member::__set_config_version(const int64_t val) {
   this->config_version = val;
 }
-std::ostream& operator<<(std::ostream& out, const Member& obj) {
+std::ostream& operator<<(std::ostream& out, const Member& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t Member::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -4280,12 +4281,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->instance);
@@ -4395,8 +4399,7 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Member");
 
-  xfer += oprot->writeFieldBegin("instance",
-                                 ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->instance);
   xfer += oprot->writeFieldEnd();
 
@@ -4404,13 +4407,11 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->role));
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("data_centre",
-                                 ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 3);
   xfer += oprot->writeString(this->data_centre);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("address",
-                                 ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 4);
   xfer += oprot->writeString(this->address);
   xfer += oprot->writeFieldEnd();
 
@@ -4418,13 +4419,11 @@
   xfer += oprot->writeI32(this->port);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("incarnation",
-                                 ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 6);
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 7);
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
@@ -4432,18 +4431,15 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->state));
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 9);
   xfer += oprot->writeString(this->target);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("weights_version",
-                                 ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeFieldBegin("weights_version", ::apache::thrift::protocol::T_I64, 10);
   xfer += oprot->writeI64(this->weights_version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("config_version",
-                                 ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 11);
   xfer += oprot->writeI64(this->config_version);
   xfer += oprot->writeFieldEnd();
 
@@ -4452,7 +4448,7 @@
   return xfer;
 }
 
-void swap(Member& a, Member& b) {
+void swap(Member &a, Member &b) {
   using ::std::swap;
   swap(a.instance, b.instance);
   swap(a.role, b.role);
@@ -4530,40 +4526,36 @@
   using ::apache::thrift::to_string;
   out << "Member(";
   out << "instance=" << to_string(instance);
-  out << ", "
-      << "role=" << to_string(role);
-  out << ", "
-      << "data_centre=" << to_string(data_centre);
-  out << ", "
-      << "address=" << to_string(address);
-  out << ", "
-      << "port=" << to_string(port);
-  out << ", "
-      << "incarnation=" << to_string(incarnation);
-  out << ", "
-      << "revision=" << to_string(revision);
-  out << ", "
-      << "state=" << to_string(state);
-  out << ", "
-      << "target=" << to_string(target);
-  out << ", "
-      << "weights_version=" << to_string(weights_version);
-  out << ", "
-      << "config_version=" << to_string(config_version);
+  out << ", " << "role=" << to_string(role);
+  out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "weights_version=" << to_string(weights_version);
+  out << ", " << "config_version=" << to_string(config_version);
   out << ")";
 }
 
-MemberUpdate::~MemberUpdate() noexcept {}
 
-void MemberUpdate::__set_members(const std::vector<Member>& val) {
+MemberUpdate::~MemberUpdate() noexcept {
+}
+
+
+void MemberUpdate::__set_members(const std::vector<Member> & val) {
   this->members = val;
 }
-std::ostream& operator<<(std::ostream& out, const MemberUpdate& obj) {
+std::ostream& operator<<(std::ostream& out, const MemberUpdate& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t MemberUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -4574,12 +4566,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
@@ -4589,7 +4584,8 @@
             xfer += iprot->readListBegin(_etype110, _size107);
             this->members.resize(_size107);
             uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111) {
+            for (_i111 = 0; _i111 < _size107; ++_i111)
+            {
               xfer += this->members[_i111].read(iprot);
             }
             xfer += iprot->readListEnd();
@@ -4611,20 +4607,17 @@
   return xfer;
 }
 
-uint32_t MemberUpdate::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t MemberUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("MemberUpdate");
 
-  xfer +=
-      oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT,
-                                  static_cast<uint32_t>(this->members.size()));
-    std::vector<Member>::const_iterator _iter112;
-    for (_iter112 = this->members.begin(); _iter112 != this->members.end();
-         ++_iter112) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Member> ::const_iterator _iter112;
+    for (_iter112 = this->members.begin(); _iter112 != this->members.end(); ++_iter112)
+    {
       xfer += (*_iter112).write(oprot);
     }
     xfer += oprot->writeListEnd();
@@ -4636,7 +4629,7 @@
   return xfer;
 }
 
-void swap(MemberUpdate& a, MemberUpdate& b) {
+void swap(MemberUpdate &a, MemberUpdate &b) {
   using ::std::swap;
   swap(a.members, b.members);
   swap(a.__isset, b.__isset);
@@ -4667,7 +4660,10 @@
   out << ")";
 }
 
-ServiceUse::~ServiceUse() noexcept {}
+
+ServiceUse::~ServiceUse() noexcept {
+}
+
 
 void ServiceUse::__set_organisation(const std::string& val) {
   this->organisation = val;
@@ -4680,12 +4676,15 @@
 void ServiceUse::__set_backlogged(const bool val) {
   this->backlogged = val;
 }
-std::ostream& operator<<(std::ostream& out, const ServiceUse& obj) {
+std::ostream& operator<<(std::ostream& out, const ServiceUse& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ServiceUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -4696,12 +4695,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->organisation);
@@ -4743,18 +4745,15 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ServiceUse");
 
-  xfer += oprot->writeFieldBegin("organisation",
-                                 ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->organisation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("cost_tokens",
-                                 ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeFieldBegin("cost_tokens", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->cost_tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("backlogged",
-                                 ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeFieldBegin("backlogged", ::apache::thrift::protocol::T_BOOL, 3);
   xfer += oprot->writeBool(this->backlogged);
   xfer += oprot->writeFieldEnd();
 
@@ -4763,7 +4762,7 @@
   return xfer;
 }
 
-void swap(ServiceUse& a, ServiceUse& b) {
+void swap(ServiceUse &a, ServiceUse &b) {
   using ::std::swap;
   swap(a.organisation, b.organisation);
   swap(a.cost_tokens, b.cost_tokens);
@@ -4801,14 +4800,15 @@
   using ::apache::thrift::to_string;
   out << "ServiceUse(";
   out << "organisation=" << to_string(organisation);
-  out << ", "
-      << "cost_tokens=" << to_string(cost_tokens);
-  out << ", "
-      << "backlogged=" << to_string(backlogged);
+  out << ", " << "cost_tokens=" << to_string(cost_tokens);
+  out << ", " << "backlogged=" << to_string(backlogged);
   out << ")";
 }
 
-ShareReport::~ShareReport() noexcept {}
+
+ShareReport::~ShareReport() noexcept {
+}
+
 
 void ShareReport::__set_instance(const std::string& val) {
   this->instance = val;
@@ -4818,19 +4818,22 @@
   this->period = val;
 }
 
-void ShareReport::__set_uses(const std::vector<ServiceUse>& val) {
+void ShareReport::__set_uses(const std::vector<ServiceUse> & val) {
   this->uses = val;
 }
 
 void ShareReport::__set_stage(const ShareStage::type val) {
   this->stage = val;
 }
-std::ostream& operator<<(std::ostream& out, const ShareReport& obj) {
+std::ostream& operator<<(std::ostream& out, const ShareReport& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ShareReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -4841,12 +4844,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->instance);
@@ -4872,7 +4878,8 @@
             xfer += iprot->readListBegin(_etype124, _size121);
             this->uses.resize(_size121);
             uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125) {
+            for (_i125 = 0; _i125 < _size121; ++_i125)
+            {
               xfer += this->uses[_i125].read(iprot);
             }
             xfer += iprot->readListEnd();
@@ -4904,29 +4911,25 @@
   return xfer;
 }
 
-uint32_t ShareReport::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ShareReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ShareReport");
 
-  xfer += oprot->writeFieldBegin("instance",
-                                 ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->instance);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("period", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeFieldBegin("period", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->period);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT,
-                                  static_cast<uint32_t>(this->uses.size()));
-    std::vector<ServiceUse>::const_iterator _iter127;
-    for (_iter127 = this->uses.begin(); _iter127 != this->uses.end();
-         ++_iter127) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<ServiceUse> ::const_iterator _iter127;
+    for (_iter127 = this->uses.begin(); _iter127 != this->uses.end(); ++_iter127)
+    {
       xfer += (*_iter127).write(oprot);
     }
     xfer += oprot->writeListEnd();
@@ -4942,7 +4945,7 @@
   return xfer;
 }
 
-void swap(ShareReport& a, ShareReport& b) {
+void swap(ShareReport &a, ShareReport &b) {
   using ::std::swap;
   swap(a.instance, b.instance);
   swap(a.period, b.period);
@@ -4985,16 +4988,16 @@
   using ::apache::thrift::to_string;
   out << "ShareReport(";
   out << "instance=" << to_string(instance);
-  out << ", "
-      << "period=" << to_string(period);
-  out << ", "
-      << "uses=" << to_string(uses);
-  out << ", "
-      << "stage=" << to_string(stage);
+  out << ", " << "period=" << to_string(period);
+  out << ", " << "uses=" << to_string(uses);
+  out << ", " << "stage=" << to_string(stage);
   out << ")";
 }
 
-Order::~Order() noexcept {}
+
+Order::~Order() noexcept {
+}
+
 
 void Order::__set_order_id(const Id& val) {
   this->order_id = val;
@@ -5027,12 +5030,15 @@
 void Order::__set_role(const std::string& val) {
   this->role = val;
 }
-std::ostream& operator<<(std::ostream& out, const Order& obj) {
+std::ostream& operator<<(std::ostream& out, const Order& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t Order::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -5043,12 +5049,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->order_id.read(iprot);
@@ -5132,18 +5141,15 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Order");
 
-  xfer += oprot->writeFieldBegin("order_id",
-                                 ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += oprot->writeFieldBegin("order_id", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->order_id.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->lease);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("fencing_token",
-                                 ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("fencing_token", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->fencing_token);
   xfer += oprot->writeFieldEnd();
 
@@ -5151,23 +5157,19 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 5);
   xfer += oprot->writeString(this->model);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("adapter",
-                                 ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeFieldBegin("adapter", ::apache::thrift::protocol::T_STRING, 6);
   xfer += oprot->writeString(this->adapter);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("weights_version",
-                                 ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeFieldBegin("weights_version", ::apache::thrift::protocol::T_I64, 7);
   xfer += oprot->writeI64(this->weights_version);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_STRING, 8);
   xfer += oprot->writeString(this->role);
   xfer += oprot->writeFieldEnd();
 
@@ -5176,7 +5178,7 @@
   return xfer;
 }
 
-void swap(Order& a, Order& b) {
+void swap(Order &a, Order &b) {
   using ::std::swap;
   swap(a.order_id, b.order_id);
   swap(a.lease, b.lease);
@@ -5239,24 +5241,20 @@
   using ::apache::thrift::to_string;
   out << "Order(";
   out << "order_id=" << to_string(order_id);
-  out << ", "
-      << "lease=" << to_string(lease);
-  out << ", "
-      << "fencing_token=" << to_string(fencing_token);
-  out << ", "
-      << "kind=" << to_string(kind);
-  out << ", "
-      << "model=" << to_string(model);
-  out << ", "
-      << "adapter=" << to_string(adapter);
-  out << ", "
-      << "weights_version=" << to_string(weights_version);
-  out << ", "
-      << "role=" << to_string(role);
+  out << ", " << "lease=" << to_string(lease);
+  out << ", " << "fencing_token=" << to_string(fencing_token);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "adapter=" << to_string(adapter);
+  out << ", " << "weights_version=" << to_string(weights_version);
+  out << ", " << "role=" << to_string(role);
   out << ")";
 }
 
-OrderResult::~OrderResult() noexcept {}
+
+OrderResult::~OrderResult() noexcept {
+}
+
 
 void OrderResult::__set_order_id(const Id& val) {
   this->order_id = val;
@@ -5273,12 +5271,15 @@
 void OrderResult::__set_detail(const std::string& val) {
   this->detail = val;
 }
-std::ostream& operator<<(std::ostream& out, const OrderResult& obj) {
+std::ostream& operator<<(std::ostream& out, const OrderResult& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t OrderResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -5289,12 +5290,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->order_id.read(iprot);
@@ -5339,29 +5343,24 @@
   return xfer;
 }
 
-uint32_t OrderResult::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t OrderResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("OrderResult");
 
-  xfer += oprot->writeFieldBegin("order_id",
-                                 ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += oprot->writeFieldBegin("order_id", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->order_id.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_BOOL, 2);
   xfer += oprot->writeBool(this->accepted);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("highest_token",
-                                 ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("highest_token", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->highest_token);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("detail", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeFieldBegin("detail", ::apache::thrift::protocol::T_STRING, 4);
   xfer += oprot->writeString(this->detail);
   xfer += oprot->writeFieldEnd();
 
@@ -5370,7 +5369,7 @@
   return xfer;
 }
 
-void swap(OrderResult& a, OrderResult& b) {
+void swap(OrderResult &a, OrderResult &b) {
   using ::std::swap;
   swap(a.order_id, b.order_id);
   swap(a.accepted, b.accepted);
@@ -5413,16 +5412,16 @@
   using ::apache::thrift::to_string;
   out << "OrderResult(";
   out << "order_id=" << to_string(order_id);
-  out << ", "
-      << "accepted=" << to_string(accepted);
-  out << ", "
-      << "highest_token=" << to_string(highest_token);
-  out << ", "
-      << "detail=" << to_string(detail);
+  out << ", " << "accepted=" << to_string(accepted);
+  out << ", " << "highest_token=" << to_string(highest_token);
+  out << ", " << "detail=" << to_string(detail);
   out << ")";
 }
 
-KindRules::~KindRules() noexcept {}
+
+KindRules::~KindRules() noexcept {
+}
+
 
 void KindRules::__set_name(const std::string& val) {
   this->name = val;
@@ -5467,12 +5466,15 @@
 void KindRules::__set_objective_ratio(const double val) {
   this->objective_ratio = val;
 }
-std::ostream& operator<<(std::ostream& out, const KindRules& obj) {
+std::ostream& operator<<(std::ostream& out, const KindRules& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t KindRules::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -5483,12 +5485,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->name);
@@ -5594,58 +5599,47 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("KindRules");
 
-  xfer +=
-      oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("repeatable",
-                                 ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeFieldBegin("repeatable", ::apache::thrift::protocol::T_BOOL, 2);
   xfer += oprot->writeBool(this->repeatable);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("wait_limit_ms",
-                                 ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("wait_limit_ms", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->wait_limit_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("share", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeFieldBegin("share", ::apache::thrift::protocol::T_DOUBLE, 4);
   xfer += oprot->writeDouble(this->share);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 5);
   xfer += oprot->writeString(this->target);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("second_attempt",
-                                 ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeFieldBegin("second_attempt", ::apache::thrift::protocol::T_BOOL, 6);
   xfer += oprot->writeBool(this->second_attempt);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prompt_tokens",
-                                 ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 7);
   xfer += oprot->writeI64(this->prompt_tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("output_tokens",
-                                 ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeFieldBegin("output_tokens", ::apache::thrift::protocol::T_I64, 8);
   xfer += oprot->writeI64(this->output_tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("first_token_objective_ms",
-                                 ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeFieldBegin("first_token_objective_ms", ::apache::thrift::protocol::T_I64, 9);
   xfer += oprot->writeI64(this->first_token_objective_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("token_gap_objective_ms",
-                                 ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeFieldBegin("token_gap_objective_ms", ::apache::thrift::protocol::T_I64, 10);
   xfer += oprot->writeI64(this->token_gap_objective_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("objective_ratio",
-                                 ::apache::thrift::protocol::T_DOUBLE, 11);
+  xfer += oprot->writeFieldBegin("objective_ratio", ::apache::thrift::protocol::T_DOUBLE, 11);
   xfer += oprot->writeDouble(this->objective_ratio);
   xfer += oprot->writeFieldEnd();
 
@@ -5654,7 +5648,7 @@
   return xfer;
 }
 
-void swap(KindRules& a, KindRules& b) {
+void swap(KindRules &a, KindRules &b) {
   using ::std::swap;
   swap(a.name, b.name);
   swap(a.repeatable, b.repeatable);
@@ -5732,30 +5726,23 @@
   using ::apache::thrift::to_string;
   out << "KindRules(";
   out << "name=" << to_string(name);
-  out << ", "
-      << "repeatable=" << to_string(repeatable);
-  out << ", "
-      << "wait_limit_ms=" << to_string(wait_limit_ms);
-  out << ", "
-      << "share=" << to_string(share);
-  out << ", "
-      << "target=" << to_string(target);
-  out << ", "
-      << "second_attempt=" << to_string(second_attempt);
-  out << ", "
-      << "prompt_tokens=" << to_string(prompt_tokens);
-  out << ", "
-      << "output_tokens=" << to_string(output_tokens);
-  out << ", "
-      << "first_token_objective_ms=" << to_string(first_token_objective_ms);
-  out << ", "
-      << "token_gap_objective_ms=" << to_string(token_gap_objective_ms);
-  out << ", "
-      << "objective_ratio=" << to_string(objective_ratio);
+  out << ", " << "repeatable=" << to_string(repeatable);
+  out << ", " << "wait_limit_ms=" << to_string(wait_limit_ms);
+  out << ", " << "share=" << to_string(share);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "second_attempt=" << to_string(second_attempt);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ", " << "output_tokens=" << to_string(output_tokens);
+  out << ", " << "first_token_objective_ms=" << to_string(first_token_objective_ms);
+  out << ", " << "token_gap_objective_ms=" << to_string(token_gap_objective_ms);
+  out << ", " << "objective_ratio=" << to_string(objective_ratio);
   out << ")";
 }
 
-OrganisationRules::~OrganisationRules() noexcept {}
+
+OrganisationRules::~OrganisationRules() noexcept {
+}
+
 
 void OrganisationRules::__set_name(const std::string& val) {
   this->name = val;
@@ -5765,7 +5752,7 @@
   this->share = val;
 }
 
-void OrganisationRules::__set_key_digests(const std::vector<std::string>& val) {
+void OrganisationRules::__set_key_digests(const std::vector<std::string> & val) {
   this->key_digests = val;
 }
 
@@ -5773,15 +5760,18 @@
   this->default_kind = val;
 }
 
-void OrganisationRules::__set_kinds(const std::vector<KindRules>& val) {
+void OrganisationRules::__set_kinds(const std::vector<KindRules> & val) {
   this->kinds = val;
 }
-std::ostream& operator<<(std::ostream& out, const OrganisationRules& obj) {
+std::ostream& operator<<(std::ostream& out, const OrganisationRules& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t OrganisationRules::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -5792,12 +5782,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->name);
@@ -5823,7 +5816,8 @@
             xfer += iprot->readListBegin(_etype148, _size145);
             this->key_digests.resize(_size145);
             uint32_t _i149;
-            for (_i149 = 0; _i149 < _size145; ++_i149) {
+            for (_i149 = 0; _i149 < _size145; ++_i149)
+            {
               xfer += iprot->readString(this->key_digests[_i149]);
             }
             xfer += iprot->readListEnd();
@@ -5850,7 +5844,8 @@
             xfer += iprot->readListBegin(_etype153, _size150);
             this->kinds.resize(_size150);
             uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154) {
+            for (_i154 = 0; _i154 < _size150; ++_i154)
+            {
               xfer += this->kinds[_i154].read(iprot);
             }
             xfer += iprot->readListEnd();
@@ -5872,50 +5867,41 @@
   return xfer;
 }
 
-uint32_t OrganisationRules::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t OrganisationRules::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("OrganisationRules");
 
-  xfer +=
-      oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("share", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeFieldBegin("share", ::apache::thrift::protocol::T_DOUBLE, 2);
   xfer += oprot->writeDouble(this->share);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("key_digests",
-                                 ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("key_digests", ::apache::thrift::protocol::T_LIST, 3);
   {
-    xfer +=
-        oprot->writeListBegin(::apache::thrift::protocol::T_STRING,
-                              static_cast<uint32_t>(this->key_digests.size()));
-    std::vector<std::string>::const_iterator _iter155;
-    for (_iter155 = this->key_digests.begin();
-         _iter155 != this->key_digests.end(); ++_iter155) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->key_digests.size()));
+    std::vector<std::string> ::const_iterator _iter155;
+    for (_iter155 = this->key_digests.begin(); _iter155 != this->key_digests.end(); ++_iter155)
+    {
       xfer += oprot->writeString((*_iter155));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("default_kind",
-                                 ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeFieldBegin("default_kind", ::apache::thrift::protocol::T_STRING, 4);
   xfer += oprot->writeString(this->default_kind);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("kinds", ::apache::thrift::protocol::T_LIST, 5);
+  xfer += oprot->writeFieldBegin("kinds", ::apache::thrift::protocol::T_LIST, 5);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT,
-                                  static_cast<uint32_t>(this->kinds.size()));
-    std::vector<KindRules>::const_iterator _iter156;
-    for (_iter156 = this->kinds.begin(); _iter156 != this->kinds.end();
-         ++_iter156) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->kinds.size()));
+    std::vector<KindRules> ::const_iterator _iter156;
+    for (_iter156 = this->kinds.begin(); _iter156 != this->kinds.end(); ++_iter156)
+    {
       xfer += (*_iter156).write(oprot);
     }
     xfer += oprot->writeListEnd();
@@ -5927,7 +5913,7 @@
   return xfer;
 }
 
-void swap(OrganisationRules& a, OrganisationRules& b) {
+void swap(OrganisationRules &a, OrganisationRules &b) {
   using ::std::swap;
   swap(a.name, b.name);
   swap(a.share, b.share);
@@ -5953,8 +5939,7 @@
   kinds = std::move(other158.kinds);
   __isset = other158.__isset;
 }
-OrganisationRules& OrganisationRules::operator=(
-    const OrganisationRules& other159) {
+OrganisationRules& OrganisationRules::operator=(const OrganisationRules& other159) {
   name = other159.name;
   share = other159.share;
   key_digests = other159.key_digests;
@@ -5963,8 +5948,7 @@
   __isset = other159.__isset;
   return *this;
 }
-OrganisationRules& OrganisationRules::operator=(
-    OrganisationRules&& other160) noexcept {
+OrganisationRules& OrganisationRules::operator=(OrganisationRules&& other160) noexcept {
   name = std::move(other160.name);
   share = other160.share;
   key_digests = std::move(other160.key_digests);
@@ -5977,18 +5961,17 @@
   using ::apache::thrift::to_string;
   out << "OrganisationRules(";
   out << "name=" << to_string(name);
-  out << ", "
-      << "share=" << to_string(share);
-  out << ", "
-      << "key_digests=" << to_string(key_digests);
-  out << ", "
-      << "default_kind=" << to_string(default_kind);
-  out << ", "
-      << "kinds=" << to_string(kinds);
+  out << ", " << "share=" << to_string(share);
+  out << ", " << "key_digests=" << to_string(key_digests);
+  out << ", " << "default_kind=" << to_string(default_kind);
+  out << ", " << "kinds=" << to_string(kinds);
   out << ")";
 }
 
-TargetRules::~TargetRules() noexcept {}
+
+TargetRules::~TargetRules() noexcept {
+}
+
 
 void TargetRules::__set_name(const std::string& val) {
   this->name = val;
@@ -6009,12 +5992,15 @@
 void TargetRules::__set_max_loads(const int64_t val) {
   this->max_loads = val;
 }
-std::ostream& operator<<(std::ostream& out, const TargetRules& obj) {
+std::ostream& operator<<(std::ostream& out, const TargetRules& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t TargetRules::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -6025,12 +6011,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->name);
@@ -6083,34 +6072,28 @@
   return xfer;
 }
 
-uint32_t TargetRules::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TargetRules::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("TargetRules");
 
-  xfer +=
-      oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_BOOL, 2);
   xfer += oprot->writeBool(this->engine);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("checks_fencing_token",
-                                 ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeFieldBegin("checks_fencing_token", ::apache::thrift::protocol::T_BOOL, 3);
   xfer += oprot->writeBool(this->checks_fencing_token);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("weights_version",
-                                 ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeFieldBegin("weights_version", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->weights_version);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("max_loads", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeFieldBegin("max_loads", ::apache::thrift::protocol::T_I64, 5);
   xfer += oprot->writeI64(this->max_loads);
   xfer += oprot->writeFieldEnd();
 
@@ -6119,7 +6102,7 @@
   return xfer;
 }
 
-void swap(TargetRules& a, TargetRules& b) {
+void swap(TargetRules &a, TargetRules &b) {
   using ::std::swap;
   swap(a.name, b.name);
   swap(a.engine, b.engine);
@@ -6167,33 +6150,34 @@
   using ::apache::thrift::to_string;
   out << "TargetRules(";
   out << "name=" << to_string(name);
-  out << ", "
-      << "engine=" << to_string(engine);
-  out << ", "
-      << "checks_fencing_token=" << to_string(checks_fencing_token);
-  out << ", "
-      << "weights_version=" << to_string(weights_version);
-  out << ", "
-      << "max_loads=" << to_string(max_loads);
+  out << ", " << "engine=" << to_string(engine);
+  out << ", " << "checks_fencing_token=" << to_string(checks_fencing_token);
+  out << ", " << "weights_version=" << to_string(weights_version);
+  out << ", " << "max_loads=" << to_string(max_loads);
   out << ")";
 }
 
-FleetRules::~FleetRules() noexcept {}
 
-void FleetRules::__set_targets(const std::vector<TargetRules>& val) {
+FleetRules::~FleetRules() noexcept {
+}
+
+
+void FleetRules::__set_targets(const std::vector<TargetRules> & val) {
   this->targets = val;
 }
 
-void FleetRules::__set_operator_key_digests(
-    const std::vector<std::string>& val) {
+void FleetRules::__set_operator_key_digests(const std::vector<std::string> & val) {
   this->operator_key_digests = val;
 }
-std::ostream& operator<<(std::ostream& out, const FleetRules& obj) {
+std::ostream& operator<<(std::ostream& out, const FleetRules& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t FleetRules::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -6204,12 +6188,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
@@ -6219,7 +6206,8 @@
             xfer += iprot->readListBegin(_etype168, _size165);
             this->targets.resize(_size165);
             uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169) {
+            for (_i169 = 0; _i169 < _size165; ++_i169)
+            {
               xfer += this->targets[_i169].read(iprot);
             }
             xfer += iprot->readListEnd();
@@ -6238,7 +6226,8 @@
             xfer += iprot->readListBegin(_etype173, _size170);
             this->operator_key_digests.resize(_size170);
             uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174) {
+            for (_i174 = 0; _i174 < _size170; ++_i174)
+            {
               xfer += iprot->readString(this->operator_key_digests[_i174]);
             }
             xfer += iprot->readListEnd();
@@ -6265,29 +6254,24 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("FleetRules");
 
-  xfer +=
-      oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT,
-                                  static_cast<uint32_t>(this->targets.size()));
-    std::vector<TargetRules>::const_iterator _iter175;
-    for (_iter175 = this->targets.begin(); _iter175 != this->targets.end();
-         ++_iter175) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
+    std::vector<TargetRules> ::const_iterator _iter175;
+    for (_iter175 = this->targets.begin(); _iter175 != this->targets.end(); ++_iter175)
+    {
       xfer += (*_iter175).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("operator_key_digests",
-                                 ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("operator_key_digests", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(
-        ::apache::thrift::protocol::T_STRING,
-        static_cast<uint32_t>(this->operator_key_digests.size()));
-    std::vector<std::string>::const_iterator _iter176;
-    for (_iter176 = this->operator_key_digests.begin();
-         _iter176 != this->operator_key_digests.end(); ++_iter176) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->operator_key_digests.size()));
+    std::vector<std::string> ::const_iterator _iter176;
+    for (_iter176 = this->operator_key_digests.begin(); _iter176 != this->operator_key_digests.end(); ++_iter176)
+    {
       xfer += oprot->writeString((*_iter176));
     }
     xfer += oprot->writeListEnd();
@@ -6299,7 +6283,7 @@
   return xfer;
 }
 
-void swap(FleetRules& a, FleetRules& b) {
+void swap(FleetRules &a, FleetRules &b) {
   using ::std::swap;
   swap(a.targets, b.targets);
   swap(a.operator_key_digests, b.operator_key_digests);
@@ -6332,12 +6316,14 @@
   using ::apache::thrift::to_string;
   out << "FleetRules(";
   out << "targets=" << to_string(targets);
-  out << ", "
-      << "operator_key_digests=" << to_string(operator_key_digests);
+  out << ", " << "operator_key_digests=" << to_string(operator_key_digests);
   out << ")";
 }
 
-RolloutServer::~RolloutServer() noexcept {}
+
+RolloutServer::~RolloutServer() noexcept {
+}
+
 
 void RolloutServer::__set_id(const std::string& val) {
   this->id = val;
@@ -6354,12 +6340,15 @@
 void RolloutServer::__set_switching(const bool val) {
   this->switching = val;
 }
-std::ostream& operator<<(std::ostream& out, const RolloutServer& obj) {
+std::ostream& operator<<(std::ostream& out, const RolloutServer& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t RolloutServer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -6370,12 +6359,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->id);
@@ -6420,8 +6412,7 @@
   return xfer;
 }
 
-uint32_t RolloutServer::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RolloutServer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("RolloutServer");
@@ -6430,18 +6421,15 @@
   xfer += oprot->writeString(this->id);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->model);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("switching",
-                                 ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeFieldBegin("switching", ::apache::thrift::protocol::T_BOOL, 4);
   xfer += oprot->writeBool(this->switching);
   xfer += oprot->writeFieldEnd();
 
@@ -6450,7 +6438,7 @@
   return xfer;
 }
 
-void swap(RolloutServer& a, RolloutServer& b) {
+void swap(RolloutServer &a, RolloutServer &b) {
   using ::std::swap;
   swap(a.id, b.id);
   swap(a.model, b.model);
@@ -6493,30 +6481,33 @@
   using ::apache::thrift::to_string;
   out << "RolloutServer(";
   out << "id=" << to_string(id);
-  out << ", "
-      << "model=" << to_string(model);
-  out << ", "
-      << "version=" << to_string(version);
-  out << ", "
-      << "switching=" << to_string(switching);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "switching=" << to_string(switching);
   out << ")";
 }
 
-RolloutNotice::~RolloutNotice() noexcept {}
+
+RolloutNotice::~RolloutNotice() noexcept {
+}
+
 
 void RolloutNotice::__set_instance(const std::string& val) {
   this->instance = val;
 }
 
-void RolloutNotice::__set_servers(const std::vector<RolloutServer>& val) {
+void RolloutNotice::__set_servers(const std::vector<RolloutServer> & val) {
   this->servers = val;
 }
-std::ostream& operator<<(std::ostream& out, const RolloutNotice& obj) {
+std::ostream& operator<<(std::ostream& out, const RolloutNotice& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t RolloutNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -6527,12 +6518,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->instance);
@@ -6550,7 +6544,8 @@
             xfer += iprot->readListBegin(_etype188, _size185);
             this->servers.resize(_size185);
             uint32_t _i189;
-            for (_i189 = 0; _i189 < _size185; ++_i189) {
+            for (_i189 = 0; _i189 < _size185; ++_i189)
+            {
               xfer += this->servers[_i189].read(iprot);
             }
             xfer += iprot->readListEnd();
@@ -6572,25 +6567,21 @@
   return xfer;
 }
 
-uint32_t RolloutNotice::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RolloutNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("RolloutNotice");
 
-  xfer += oprot->writeFieldBegin("instance",
-                                 ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->instance);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT,
-                                  static_cast<uint32_t>(this->servers.size()));
-    std::vector<RolloutServer>::const_iterator _iter190;
-    for (_iter190 = this->servers.begin(); _iter190 != this->servers.end();
-         ++_iter190) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<RolloutServer> ::const_iterator _iter190;
+    for (_iter190 = this->servers.begin(); _iter190 != this->servers.end(); ++_iter190)
+    {
       xfer += (*_iter190).write(oprot);
     }
     xfer += oprot->writeListEnd();
@@ -6602,7 +6593,7 @@
   return xfer;
 }
 
-void swap(RolloutNotice& a, RolloutNotice& b) {
+void swap(RolloutNotice &a, RolloutNotice &b) {
   using ::std::swap;
   swap(a.instance, b.instance);
   swap(a.servers, b.servers);
@@ -6635,12 +6626,14 @@
   using ::apache::thrift::to_string;
   out << "RolloutNotice(";
   out << "instance=" << to_string(instance);
-  out << ", "
-      << "servers=" << to_string(servers);
+  out << ", " << "servers=" << to_string(servers);
   out << ")";
 }
 
-ServerUse::~ServerUse() noexcept {}
+
+ServerUse::~ServerUse() noexcept {
+}
+
 
 void ServerUse::__set_id(const std::string& val) {
   this->id = val;
@@ -6653,12 +6646,15 @@
 void ServerUse::__set_unread_tokens(const int64_t val) {
   this->unread_tokens = val;
 }
-std::ostream& operator<<(std::ostream& out, const ServerUse& obj) {
+std::ostream& operator<<(std::ostream& out, const ServerUse& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ServerUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -6669,12 +6665,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->id);
@@ -6720,13 +6719,11 @@
   xfer += oprot->writeString(this->id);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_I32, 2);
   xfer += oprot->writeI32(this->in_flight);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("unread_tokens",
-                                 ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("unread_tokens", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->unread_tokens);
   xfer += oprot->writeFieldEnd();
 
@@ -6735,7 +6732,7 @@
   return xfer;
 }
 
-void swap(ServerUse& a, ServerUse& b) {
+void swap(ServerUse &a, ServerUse &b) {
   using ::std::swap;
   swap(a.id, b.id);
   swap(a.in_flight, b.in_flight);
@@ -6773,32 +6770,36 @@
   using ::apache::thrift::to_string;
   out << "ServerUse(";
   out << "id=" << to_string(id);
-  out << ", "
-      << "in_flight=" << to_string(in_flight);
-  out << ", "
-      << "unread_tokens=" << to_string(unread_tokens);
+  out << ", " << "in_flight=" << to_string(in_flight);
+  out << ", " << "unread_tokens=" << to_string(unread_tokens);
   out << ")";
 }
 
-SentPrompt::~SentPrompt() noexcept {}
+
+SentPrompt::~SentPrompt() noexcept {
+}
+
 
 void SentPrompt::__set_server(const std::string& val) {
   this->server = val;
 }
 
-void SentPrompt::__set_parts(const std::vector<int64_t>& val) {
+void SentPrompt::__set_parts(const std::vector<int64_t> & val) {
   this->parts = val;
 }
 
-void SentPrompt::__set_tokens(const std::vector<int32_t>& val) {
+void SentPrompt::__set_tokens(const std::vector<int32_t> & val) {
   this->tokens = val;
 }
-std::ostream& operator<<(std::ostream& out, const SentPrompt& obj) {
+std::ostream& operator<<(std::ostream& out, const SentPrompt& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t SentPrompt::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -6809,12 +6810,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->server);
@@ -6832,7 +6836,8 @@
             xfer += iprot->readListBegin(_etype202, _size199);
             this->parts.resize(_size199);
             uint32_t _i203;
-            for (_i203 = 0; _i203 < _size199; ++_i203) {
+            for (_i203 = 0; _i203 < _size199; ++_i203)
+            {
               xfer += iprot->readI64(this->parts[_i203]);
             }
             xfer += iprot->readListEnd();
@@ -6851,7 +6856,8 @@
             xfer += iprot->readListBegin(_etype207, _size204);
             this->tokens.resize(_size204);
             uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208) {
+            for (_i208 = 0; _i208 < _size204; ++_i208)
+            {
               xfer += iprot->readI32(this->tokens[_i208]);
             }
             xfer += iprot->readListEnd();
@@ -6878,33 +6884,28 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("SentPrompt");
 
-  xfer +=
-      oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->server);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64,
-                                  static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t>::const_iterator _iter209;
-    for (_iter209 = this->parts.begin(); _iter209 != this->parts.end();
-         ++_iter209) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter209;
+    for (_iter209 = this->parts.begin(); _iter209 != this->parts.end(); ++_iter209)
+    {
       xfer += oprot->writeI64((*_iter209));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_LIST, 3);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32,
-                                  static_cast<uint32_t>(this->tokens.size()));
-    std::vector<int32_t>::const_iterator _iter210;
-    for (_iter210 = this->tokens.begin(); _iter210 != this->tokens.end();
-         ++_iter210) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->tokens.size()));
+    std::vector<int32_t> ::const_iterator _iter210;
+    for (_iter210 = this->tokens.begin(); _iter210 != this->tokens.end(); ++_iter210)
+    {
       xfer += oprot->writeI32((*_iter210));
     }
     xfer += oprot->writeListEnd();
@@ -6916,7 +6917,7 @@
   return xfer;
 }
 
-void swap(SentPrompt& a, SentPrompt& b) {
+void swap(SentPrompt &a, SentPrompt &b) {
   using ::std::swap;
   swap(a.server, b.server);
   swap(a.parts, b.parts);
@@ -6954,14 +6955,15 @@
   using ::apache::thrift::to_string;
   out << "SentPrompt(";
   out << "server=" << to_string(server);
-  out << ", "
-      << "parts=" << to_string(parts);
-  out << ", "
-      << "tokens=" << to_string(tokens);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "tokens=" << to_string(tokens);
   out << ")";
 }
 
-UseNotice::~UseNotice() noexcept {}
+
+UseNotice::~UseNotice() noexcept {
+}
+
 
 void UseNotice::__set_incarnation(const int64_t val) {
   this->incarnation = val;
@@ -6971,23 +6973,26 @@
   this->sequence = val;
 }
 
-void UseNotice::__set_uses(const std::vector<ServerUse>& val) {
+void UseNotice::__set_uses(const std::vector<ServerUse> & val) {
   this->uses = val;
 }
 
-void UseNotice::__set_prompts(const std::vector<SentPrompt>& val) {
+void UseNotice::__set_prompts(const std::vector<SentPrompt> & val) {
   this->prompts = val;
 }
 
 void UseNotice::__set_whole(const bool val) {
   this->whole = val;
 }
-std::ostream& operator<<(std::ostream& out, const UseNotice& obj) {
+std::ostream& operator<<(std::ostream& out, const UseNotice& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t UseNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -6998,12 +7003,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->incarnation);
@@ -7029,7 +7037,8 @@
             xfer += iprot->readListBegin(_etype218, _size215);
             this->uses.resize(_size215);
             uint32_t _i219;
-            for (_i219 = 0; _i219 < _size215; ++_i219) {
+            for (_i219 = 0; _i219 < _size215; ++_i219)
+            {
               xfer += this->uses[_i219].read(iprot);
             }
             xfer += iprot->readListEnd();
@@ -7048,7 +7057,8 @@
             xfer += iprot->readListBegin(_etype223, _size220);
             this->prompts.resize(_size220);
             uint32_t _i224;
-            for (_i224 = 0; _i224 < _size220; ++_i224) {
+            for (_i224 = 0; _i224 < _size220; ++_i224)
+            {
               xfer += this->prompts[_i224].read(iprot);
             }
             xfer += iprot->readListEnd();
@@ -7083,45 +7093,39 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("UseNotice");
 
-  xfer += oprot->writeFieldBegin("incarnation",
-                                 ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT,
-                                  static_cast<uint32_t>(this->uses.size()));
-    std::vector<ServerUse>::const_iterator _iter225;
-    for (_iter225 = this->uses.begin(); _iter225 != this->uses.end();
-         ++_iter225) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<ServerUse> ::const_iterator _iter225;
+    for (_iter225 = this->uses.begin(); _iter225 != this->uses.end(); ++_iter225)
+    {
       xfer += (*_iter225).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 4);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT,
-                                  static_cast<uint32_t>(this->prompts.size()));
-    std::vector<SentPrompt>::const_iterator _iter226;
-    for (_iter226 = this->prompts.begin(); _iter226 != this->prompts.end();
-         ++_iter226) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
+    std::vector<SentPrompt> ::const_iterator _iter226;
+    for (_iter226 = this->prompts.begin(); _iter226 != this->prompts.end(); ++_iter226)
+    {
       xfer += (*_iter226).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 5);
   xfer += oprot->writeBool(this->whole);
   xfer += oprot->writeFieldEnd();
 
@@ -7130,7 +7134,7 @@
   return xfer;
 }
 
-void swap(UseNotice& a, UseNotice& b) {
+void swap(UseNotice &a, UseNotice &b) {
   using ::std::swap;
   swap(a.incarnation, b.incarnation);
   swap(a.sequence, b.sequence);
@@ -7178,18 +7182,17 @@
   using ::apache::thrift::to_string;
   out << "UseNotice(";
   out << "incarnation=" << to_string(incarnation);
-  out << ", "
-      << "sequence=" << to_string(sequence);
-  out << ", "
-      << "uses=" << to_string(uses);
-  out << ", "
-      << "prompts=" << to_string(prompts);
-  out << ", "
-      << "whole=" << to_string(whole);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "uses=" << to_string(uses);
+  out << ", " << "prompts=" << to_string(prompts);
+  out << ", " << "whole=" << to_string(whole);
   out << ")";
 }
 
-RowCopy::~RowCopy() noexcept {}
+
+RowCopy::~RowCopy() noexcept {
+}
+
 
 void RowCopy::__set_key(const std::string& val) {
   this->key = val;
@@ -7206,12 +7209,15 @@
 void RowCopy::__set_removed(const bool val) {
   this->removed = val;
 }
-std::ostream& operator<<(std::ostream& out, const RowCopy& obj) {
+std::ostream& operator<<(std::ostream& out, const RowCopy& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t RowCopy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -7222,12 +7228,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->key);
@@ -7277,23 +7286,19 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("RowCopy");
 
-  xfer +=
-      oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->key);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeBinary(this->value);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 4);
   xfer += oprot->writeBool(this->removed);
   xfer += oprot->writeFieldEnd();
 
@@ -7302,7 +7307,7 @@
   return xfer;
 }
 
-void swap(RowCopy& a, RowCopy& b) {
+void swap(RowCopy &a, RowCopy &b) {
   using ::std::swap;
   swap(a.key, b.key);
   swap(a.value, b.value);
@@ -7345,16 +7350,16 @@
   using ::apache::thrift::to_string;
   out << "RowCopy(";
   out << "key=" << to_string(key);
-  out << ", "
-      << "value=" << to_string(value);
-  out << ", "
-      << "version=" << to_string(version);
-  out << ", "
-      << "removed=" << to_string(removed);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "removed=" << to_string(removed);
   out << ")";
 }
 
-TableCopy::~TableCopy() noexcept {}
+
+TableCopy::~TableCopy() noexcept {
+}
+
 
 void TableCopy::__set_name(const std::string& val) {
   this->name = val;
@@ -7368,15 +7373,18 @@
   this->whole = val;
 }
 
-void TableCopy::__set_rows(const std::vector<RowCopy>& val) {
+void TableCopy::__set_rows(const std::vector<RowCopy> & val) {
   this->rows = val;
 }
-std::ostream& operator<<(std::ostream& out, const TableCopy& obj) {
+std::ostream& operator<<(std::ostream& out, const TableCopy& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t TableCopy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -7387,12 +7395,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->name);
@@ -7426,7 +7437,8 @@
             xfer += iprot->readListBegin(_etype238, _size235);
             this->rows.resize(_size235);
             uint32_t _i239;
-            for (_i239 = 0; _i239 < _size235; ++_i239) {
+            for (_i239 = 0; _i239 < _size235; ++_i239)
+            {
               xfer += this->rows[_i239].read(iprot);
             }
             xfer += iprot->readListEnd();
@@ -7453,28 +7465,24 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("TableCopy");
 
-  xfer +=
-      oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 3);
   xfer += oprot->writeBool(this->whole);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT,
-                                  static_cast<uint32_t>(this->rows.size()));
-    std::vector<RowCopy>::const_iterator _iter240;
-    for (_iter240 = this->rows.begin(); _iter240 != this->rows.end();
-         ++_iter240) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<RowCopy> ::const_iterator _iter240;
+    for (_iter240 = this->rows.begin(); _iter240 != this->rows.end(); ++_iter240)
+    {
       xfer += (*_iter240).write(oprot);
     }
     xfer += oprot->writeListEnd();
@@ -7486,7 +7494,7 @@
   return xfer;
 }
 
-void swap(TableCopy& a, TableCopy& b) {
+void swap(TableCopy &a, TableCopy &b) {
   using ::std::swap;
   swap(a.name, b.name);
   swap(a.version, b.version);
@@ -7529,34 +7537,37 @@
   using ::apache::thrift::to_string;
   out << "TableCopy(";
   out << "name=" << to_string(name);
-  out << ", "
-      << "version=" << to_string(version);
-  out << ", "
-      << "whole=" << to_string(whole);
-  out << ", "
-      << "rows=" << to_string(rows);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "whole=" << to_string(whole);
+  out << ", " << "rows=" << to_string(rows);
   out << ")";
 }
 
-FeedCopy::~FeedCopy() noexcept {}
+
+FeedCopy::~FeedCopy() noexcept {
+}
+
 
 void FeedCopy::__set_age_ms(const int64_t val) {
   this->age_ms = val;
 }
 
-void FeedCopy::__set_tables(const std::vector<TableCopy>& val) {
+void FeedCopy::__set_tables(const std::vector<TableCopy> & val) {
   this->tables = val;
 }
 
 void FeedCopy::__set_from_store(const bool val) {
   this->from_store = val;
 }
-std::ostream& operator<<(std::ostream& out, const FeedCopy& obj) {
+std::ostream& operator<<(std::ostream& out, const FeedCopy& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t FeedCopy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -7567,12 +7578,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->age_ms);
@@ -7590,7 +7604,8 @@
             xfer += iprot->readListBegin(_etype248, _size245);
             this->tables.resize(_size245);
             uint32_t _i249;
-            for (_i249 = 0; _i249 < _size245; ++_i249) {
+            for (_i249 = 0; _i249 < _size245; ++_i249)
+            {
               xfer += this->tables[_i249].read(iprot);
             }
             xfer += iprot->readListEnd();
@@ -7625,27 +7640,23 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("FeedCopy");
 
-  xfer +=
-      oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT,
-                                  static_cast<uint32_t>(this->tables.size()));
-    std::vector<TableCopy>::const_iterator _iter250;
-    for (_iter250 = this->tables.begin(); _iter250 != this->tables.end();
-         ++_iter250) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
+    std::vector<TableCopy> ::const_iterator _iter250;
+    for (_iter250 = this->tables.begin(); _iter250 != this->tables.end(); ++_iter250)
+    {
       xfer += (*_iter250).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("from_store",
-                                 ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeFieldBegin("from_store", ::apache::thrift::protocol::T_BOOL, 3);
   xfer += oprot->writeBool(this->from_store);
   xfer += oprot->writeFieldEnd();
 
@@ -7654,7 +7665,7 @@
   return xfer;
 }
 
-void swap(FeedCopy& a, FeedCopy& b) {
+void swap(FeedCopy &a, FeedCopy &b) {
   using ::std::swap;
   swap(a.age_ms, b.age_ms);
   swap(a.tables, b.tables);
@@ -7692,14 +7703,15 @@
   using ::apache::thrift::to_string;
   out << "FeedCopy(";
   out << "age_ms=" << to_string(age_ms);
-  out << ", "
-      << "tables=" << to_string(tables);
-  out << ", "
-      << "from_store=" << to_string(from_store);
+  out << ", " << "tables=" << to_string(tables);
+  out << ", " << "from_store=" << to_string(from_store);
   out << ")";
 }
 
-TableMark::~TableMark() noexcept {}
+
+TableMark::~TableMark() noexcept {
+}
+
 
 void TableMark::__set_name(const std::string& val) {
   this->name = val;
@@ -7708,12 +7720,15 @@
 void TableMark::__set_version(const int64_t val) {
   this->version = val;
 }
-std::ostream& operator<<(std::ostream& out, const TableMark& obj) {
+std::ostream& operator<<(std::ostream& out, const TableMark& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t TableMark::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -7724,12 +7739,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->name);
@@ -7763,13 +7781,11 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("TableMark");
 
-  xfer +=
-      oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
@@ -7778,7 +7794,7 @@
   return xfer;
 }
 
-void swap(TableMark& a, TableMark& b) {
+void swap(TableMark &a, TableMark &b) {
   using ::std::swap;
   swap(a.name, b.name);
   swap(a.version, b.version);
@@ -7811,26 +7827,31 @@
   using ::apache::thrift::to_string;
   out << "TableMark(";
   out << "name=" << to_string(name);
-  out << ", "
-      << "version=" << to_string(version);
+  out << ", " << "version=" << to_string(version);
   out << ")";
 }
 
-FeedQuery::~FeedQuery() noexcept {}
+
+FeedQuery::~FeedQuery() noexcept {
+}
+
 
 void FeedQuery::__set_wait_ms(const int64_t val) {
   this->wait_ms = val;
 }
 
-void FeedQuery::__set_tables(const std::vector<TableMark>& val) {
+void FeedQuery::__set_tables(const std::vector<TableMark> & val) {
   this->tables = val;
 }
-std::ostream& operator<<(std::ostream& out, const FeedQuery& obj) {
+std::ostream& operator<<(std::ostream& out, const FeedQuery& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t FeedQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -7841,12 +7862,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->wait_ms);
@@ -7864,7 +7888,8 @@
             xfer += iprot->readListBegin(_etype262, _size259);
             this->tables.resize(_size259);
             uint32_t _i263;
-            for (_i263 = 0; _i263 < _size259; ++_i263) {
+            for (_i263 = 0; _i263 < _size259; ++_i263)
+            {
               xfer += this->tables[_i263].read(iprot);
             }
             xfer += iprot->readListEnd();
@@ -7891,19 +7916,16 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("FeedQuery");
 
-  xfer +=
-      oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->wait_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT,
-                                  static_cast<uint32_t>(this->tables.size()));
-    std::vector<TableMark>::const_iterator _iter264;
-    for (_iter264 = this->tables.begin(); _iter264 != this->tables.end();
-         ++_iter264) {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
+    std::vector<TableMark> ::const_iterator _iter264;
+    for (_iter264 = this->tables.begin(); _iter264 != this->tables.end(); ++_iter264)
+    {
       xfer += (*_iter264).write(oprot);
     }
     xfer += oprot->writeListEnd();
@@ -7915,7 +7937,7 @@
   return xfer;
 }
 
-void swap(FeedQuery& a, FeedQuery& b) {
+void swap(FeedQuery &a, FeedQuery &b) {
   using ::std::swap;
   swap(a.wait_ms, b.wait_ms);
   swap(a.tables, b.tables);
@@ -7948,12 +7970,14 @@
   using ::apache::thrift::to_string;
   out << "FeedQuery(";
   out << "wait_ms=" << to_string(wait_ms);
-  out << ", "
-      << "tables=" << to_string(tables);
+  out << ", " << "tables=" << to_string(tables);
   out << ")";
 }
 
-ClaimRecord::~ClaimRecord() noexcept {}
+
+ClaimRecord::~ClaimRecord() noexcept {
+}
+
 
 void ClaimRecord::__set_attempt_token(const Id& val) {
   this->attempt_token = val;
@@ -7986,12 +8010,15 @@
 void ClaimRecord::__set_at_ms(const int64_t val) {
   this->at_ms = val;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimRecord& obj) {
+std::ostream& operator<<(std::ostream& out, const ClaimRecord& obj)
+{
   obj.printTo(out);
   return out;
 }
 
+
 uint32_t ClaimRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
   std::string fname;
@@ -8002,12 +8029,15 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  while (true) {
+
+  while (true)
+  {
     xfer += iprot->readFieldBegin(fname, ftype, fid);
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid) {
+    switch (fid)
+    {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->attempt_token.read(iprot);
@@ -8086,24 +8116,20 @@
   return xfer;
 }
 
-uint32_t ClaimRecord::write(
-    ::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClaimRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ClaimRecord");
 
-  xfer += oprot->writeFieldBegin("attempt_token",
-                                 ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += oprot->writeFieldBegin("attempt_token", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->attempt_token.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("agent", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeFieldBegin("agent", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->agent);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body_digest",
-                                 ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeFieldBegin("body_digest", ::apache::thrift::protocol::T_STRING, 3);
   xfer += oprot->writeString(this->body_digest);
   xfer += oprot->writeFieldEnd();
 
@@ -8111,18 +8137,15 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->state));
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
   xfer += oprot->writeI32(this->status);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("content_type",
-                                 ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeFieldBegin("content_type", ::apache::thrift::protocol::T_STRING, 6);
   xfer += oprot->writeString(this->content_type);
   xfer += oprot->writeFieldEnd();
 
-  xfer +=
-      oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 7);
   xfer += oprot->writeBinary(this->body);
   xfer += oprot->writeFieldEnd();
 
@@ -8135,7 +8158,7 @@
   return xfer;
 }
 
-void swap(ClaimRecord& a, ClaimRecord& b) {
+void swap(ClaimRecord &a, ClaimRecord &b) {
   using ::std::swap;
   swap(a.attempt_token, b.attempt_token);
   swap(a.agent, b.agent);
@@ -8198,22 +8221,14 @@
   using ::apache::thrift::to_string;
   out << "ClaimRecord(";
   out << "attempt_token=" << to_string(attempt_token);
-  out << ", "
-      << "agent=" << to_string(agent);
-  out << ", "
-      << "body_digest=" << to_string(body_digest);
-  out << ", "
-      << "state=" << to_string(state);
-  out << ", "
-      << "status=" << to_string(status);
-  out << ", "
-      << "content_type=" << to_string(content_type);
-  out << ", "
-      << "body=" << to_string(body);
-  out << ", "
-      << "at_ms=" << to_string(at_ms);
+  out << ", " << "agent=" << to_string(agent);
+  out << ", " << "body_digest=" << to_string(body_digest);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "content_type=" << to_string(content_type);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "at_ms=" << to_string(at_ms);
   out << ")";
 }
 
-}  // namespace wire
-}  // namespace peridotgate
+}} // namespace
