--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -9,20 +9,24 @@
 
 #include <iosfwd>
 
+#include <thrift/Thrift.h>
 #include <thrift/TApplicationException.h>
 #include <thrift/TBase.h>
-#include <thrift/Thrift.h>
 #include <thrift/protocol/TProtocol.h>
 #include <thrift/transport/TTransport.h>
 
 #include <functional>
 #include <memory>
 
-namespace peridotgate {
-namespace wire {
+
+namespace peridotgate { namespace wire {
 
 struct Outcome {
-  enum type : int { kRan = 1, kNotRun = 2, kUnknown = 3 };
+  enum type : int {
+    kRan = 1,
+    kNotRun = 2,
+    kUnknown = 3
+  };
 };
 
 extern const std::map<int, const char*> _Outcome_VALUES_TO_NAMES;
@@ -60,7 +64,10 @@
 std::string to_string(const Reason::type& val);
 
 struct Role {
-  enum type : int { kEntry = 1, kAgent = 2 };
+  enum type : int {
+    kEntry = 1,
+    kAgent = 2
+  };
 };
 
 extern const std::map<int, const char*> _Role_VALUES_TO_NAMES;
@@ -70,7 +77,12 @@
 std::string to_string(const Role::type& val);
 
 struct MemberState {
-  enum type : int { kAlive = 1, kSuspect = 2, kLeaving = 3, kGone = 4 };
+  enum type : int {
+    kAlive = 1,
+    kSuspect = 2,
+    kLeaving = 3,
+    kGone = 4
+  };
 };
 
 extern const std::map<int, const char*> _MemberState_VALUES_TO_NAMES;
@@ -80,7 +92,11 @@
 std::string to_string(const MemberState::type& val);
 
 struct OrderKind {
-  enum type : int { kLoad = 1, kUnload = 2, kRole = 3 };
+  enum type : int {
+    kLoad = 1,
+    kUnload = 2,
+    kRole = 3
+  };
 };
 
 extern const std::map<int, const char*> _OrderKind_VALUES_TO_NAMES;
@@ -105,7 +121,11 @@
 std::string to_string(const ShareStage::type& val);
 
 struct ClaimState {
-  enum type : int { kClaimed = 1, kDone = 2, kNotRun = 3 };
+  enum type : int {
+    kClaimed = 1,
+    kDone = 2,
+    kNotRun = 3
+  };
 };
 
 extern const std::map<int, const char*> _ClaimState_VALUES_TO_NAMES;
@@ -194,17 +214,21 @@
 
 typedef struct _Id__isset {
   _Id__isset() : high(false), low(false) {}
-  bool high : 1;
-  bool low : 1;
+  bool high :1;
+  bool low :1;
 } _Id__isset;
 
 class Id : public virtual ::apache::thrift::TBase {
  public:
+
   Id(const Id&) noexcept;
   Id(Id&&) noexcept;
   Id& operator=(const Id&) noexcept;
   Id& operator=(Id&&) noexcept;
-  Id() noexcept : high(0), low(0) {}
+  Id() noexcept
+     : high(0),
+       low(0) {
+  }
 
   virtual ~Id() noexcept;
   int64_t high;
@@ -216,16 +240,19 @@
 
   void __set_low(const int64_t val);
 
-  bool operator==(const Id& rhs) const {
+  bool operator == (const Id & rhs) const
+  {
     if (!(high == rhs.high))
       return false;
     if (!(low == rhs.low))
       return false;
     return true;
   }
-  bool operator!=(const Id& rhs) const { return !(*this == rhs); }
+  bool operator != (const Id &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Id&) const;
+  bool operator < (const Id & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -233,36 +260,33 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Id& a, Id& b);
+void swap(Id &a, Id &b);
 
 std::ostream& operator<<(std::ostream& out, const Id& obj);
 
 typedef struct _Hello__isset {
-  _Hello__isset()
-      : protocol(false),
-        instance(false),
-        data_centre(false),
-        incarnation(false),
-        config_version(false) {}
-  bool protocol : 1;
-  bool instance : 1;
-  bool data_centre : 1;
-  bool incarnation : 1;
-  bool config_version : 1;
+  _Hello__isset() : protocol(false), instance(false), data_centre(false), incarnation(false), config_version(false) {}
+  bool protocol :1;
+  bool instance :1;
+  bool data_centre :1;
+  bool incarnation :1;
+  bool config_version :1;
 } _Hello__isset;
 
 class Hello : public virtual ::apache::thrift::TBase {
  public:
+
   Hello(const Hello&);
   Hello(Hello&&) noexcept;
   Hello& operator=(const Hello&);
   Hello& operator=(Hello&&) noexcept;
   Hello() noexcept
-      : protocol(0),
-        instance(),
-        data_centre(),
-        incarnation(0),
-        config_version(0) {}
+        : protocol(0),
+          instance(),
+          data_centre(),
+          incarnation(0),
+          config_version(0) {
+  }
 
   virtual ~Hello() noexcept;
   int32_t protocol;
@@ -283,7 +307,8 @@
 
   void __set_config_version(const int64_t val);
 
-  bool operator==(const Hello& rhs) const {
+  bool operator == (const Hello & rhs) const
+  {
     if (!(protocol == rhs.protocol))
       return false;
     if (!(instance == rhs.instance))
@@ -296,9 +321,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Hello& rhs) const { return !(*this == rhs); }
+  bool operator != (const Hello &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Hello&) const;
+  bool operator < (const Hello & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -306,34 +333,35 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Hello& a, Hello& b);
+void swap(Hello &a, Hello &b);
 
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _ProbeRequest__isset {
-  _ProbeRequest__isset()
-      : probe_id(false),
-        organisation(false),
-        prefix_keys(false),
-        prompt_tokens(false) {}
-  bool probe_id : 1;
-  bool organisation : 1;
-  bool prefix_keys : 1;
-  bool prompt_tokens : 1;
+  _ProbeRequest__isset() : probe_id(false), organisation(false), prefix_keys(false), prompt_tokens(false) {}
+  bool probe_id :1;
+  bool organisation :1;
+  bool prefix_keys :1;
+  bool prompt_tokens :1;
 } _ProbeRequest__isset;
 
 class ProbeRequest : public virtual ::apache::thrift::TBase {
  public:
+
   ProbeRequest(const ProbeRequest&);
   ProbeRequest(ProbeRequest&&) noexcept;
   ProbeRequest& operator=(const ProbeRequest&);
   ProbeRequest& operator=(ProbeRequest&&) noexcept;
-  ProbeRequest() noexcept : probe_id(0), organisation(), prompt_tokens(0) {}
+  ProbeRequest() noexcept
+               : probe_id(0),
+                 organisation(),
+                 prompt_tokens(0) {
+  }
 
   virtual ~ProbeRequest() noexcept;
   int64_t probe_id;
   std::string organisation;
-  std::vector<int64_t> prefix_keys;
+  std::vector<int64_t>  prefix_keys;
   int64_t prompt_tokens;
 
   _ProbeRequest__isset __isset;
@@ -342,11 +370,12 @@
 
   void __set_organisation(const std::string& val);
 
-  void __set_prefix_keys(const std::vector<int64_t>& val);
+  void __set_prefix_keys(const std::vector<int64_t> & val);
 
   void __set_prompt_tokens(const int64_t val);
 
-  bool operator==(const ProbeRequest& rhs) const {
+  bool operator == (const ProbeRequest & rhs) const
+  {
     if (!(probe_id == rhs.probe_id))
       return false;
     if (!(organisation == rhs.organisation))
@@ -357,9 +386,11 @@
       return false;
     return true;
   }
-  bool operator!=(const ProbeRequest& rhs) const { return !(*this == rhs); }
+  bool operator != (const ProbeRequest &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ProbeRequest&) const;
+  bool operator < (const ProbeRequest & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -367,54 +398,45 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ProbeRequest& a, ProbeRequest& b);
+void swap(ProbeRequest &a, ProbeRequest &b);
 
 std::ostream& operator<<(std::ostream& out, const ProbeRequest& obj);
 
 typedef struct _ProbeReply__isset {
-  _ProbeReply__isset()
-      : probe_id(false),
-        engine_incarnation(false),
-        weights_version(false),
-        held_pieces(false),
-        in_flight(false),
-        queued(false),
-        wait_us(false),
-        leaving(false),
-        prefill_us_per_piece(false),
-        slowness(false),
-        long_in_flight(false) {}
-  bool probe_id : 1;
-  bool engine_incarnation : 1;
-  bool weights_version : 1;
-  bool held_pieces : 1;
-  bool in_flight : 1;
-  bool queued : 1;
-  bool wait_us : 1;
-  bool leaving : 1;
-  bool prefill_us_per_piece : 1;
-  bool slowness : 1;
-  bool long_in_flight : 1;
+  _ProbeReply__isset() : probe_id(false), engine_incarnation(false), weights_version(false), held_pieces(false), in_flight(false), queued(false), wait_us(false), leaving(false), prefill_us_per_piece(false), slowness(false), long_in_flight(false) {}
+  bool probe_id :1;
+  bool engine_incarnation :1;
+  bool weights_version :1;
+  bool held_pieces :1;
+  bool in_flight :1;
+  bool queued :1;
+  bool wait_us :1;
+  bool leaving :1;
+  bool prefill_us_per_piece :1;
+  bool slowness :1;
+  bool long_in_flight :1;
 } _ProbeReply__isset;
 
 class ProbeReply : public virtual ::apache::thrift::TBase {
  public:
+
   ProbeReply(const ProbeReply&) noexcept;
   ProbeReply(ProbeReply&&) noexcept;
   ProbeReply& operator=(const ProbeReply&) noexcept;
   ProbeReply& operator=(ProbeReply&&) noexcept;
   ProbeReply() noexcept
-      : probe_id(0),
-        engine_incarnation(0),
-        weights_version(0),
-        held_pieces(0),
-        in_flight(0),
-        queued(0),
-        wait_us(0),
-        leaving(0),
-        prefill_us_per_piece(0),
-        slowness(0),
-        long_in_flight(0) {}
+             : probe_id(0),
+               engine_incarnation(0),
+               weights_version(0),
+               held_pieces(0),
+               in_flight(0),
+               queued(0),
+               wait_us(0),
+               leaving(0),
+               prefill_us_per_piece(0),
+               slowness(0),
+               long_in_flight(0) {
+  }
 
   virtual ~ProbeReply() noexcept;
   int64_t probe_id;
@@ -453,7 +475,8 @@
 
   void __set_long_in_flight(const int32_t val);
 
-  bool operator==(const ProbeReply& rhs) const {
+  bool operator == (const ProbeReply & rhs) const
+  {
     if (!(probe_id == rhs.probe_id))
       return false;
     if (!(engine_incarnation == rhs.engine_incarnation))
@@ -478,9 +501,11 @@
       return false;
     return true;
   }
-  bool operator!=(const ProbeReply& rhs) const { return !(*this == rhs); }
+  bool operator != (const ProbeReply &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ProbeReply&) const;
+  bool operator < (const ProbeReply & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -488,97 +513,73 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ProbeReply& a, ProbeReply& b);
+void swap(ProbeReply &a, ProbeReply &b);
 
 std::ostream& operator<<(std::ostream& out, const ProbeReply& obj);
 
 typedef struct _Dispatch__isset {
-  _Dispatch__isset()
-      : request_id(false),
-        attempt(false),
-        config_version(false),
-        organisation(false),
-        kind(false),
-        target(false),
-        method(false),
-        path(false),
-        content_type(false),
-        body(false),
-        prefix_keys(false),
-        engine_incarnation(false),
-        weights_version(false),
-        streamed(false),
-        resume_position(false),
-        repeatable(false),
-        idempotency_key(false),
-        wait_limit_us(false),
-        prompt_tokens(false),
-        output_tokens(false),
-        traceparent(false),
-        second_attempt(false),
-        weight(false),
-        long_work(false),
-        priority(false),
-        import_from(false) {}
-  bool request_id : 1;
-  bool attempt : 1;
-  bool config_version : 1;
-  bool organisation : 1;
-  bool kind : 1;
-  bool target : 1;
-  bool method : 1;
-  bool path : 1;
-  bool content_type : 1;
-  bool body : 1;
-  bool prefix_keys : 1;
-  bool engine_incarnation : 1;
-  bool weights_version : 1;
-  bool streamed : 1;
-  bool resume_position : 1;
-  bool repeatable : 1;
-  bool idempotency_key : 1;
-  bool wait_limit_us : 1;
-  bool prompt_tokens : 1;
-  bool output_tokens : 1;
-  bool traceparent : 1;
-  bool second_attempt : 1;
-  bool weight : 1;
-  bool long_work : 1;
-  bool priority : 1;
-  bool import_from : 1;
+  _Dispatch__isset() : request_id(false), attempt(false), config_version(false), organisation(false), kind(false), target(false), method(false), path(false), content_type(false), body(false), prefix_keys(false), engine_incarnation(false), weights_version(false), streamed(false), resume_position(false), repeatable(false), idempotency_key(false), wait_limit_us(false), prompt_tokens(false), output_tokens(false), traceparent(false), second_attempt(false), weight(false), long_work(false), priority(false), import_from(false) {}
+  bool request_id :1;
+  bool attempt :1;
+  bool config_version :1;
+  bool organisation :1;
+  bool kind :1;
+  bool target :1;
+  bool method :1;
+  bool path :1;
+  bool content_type :1;
+  bool body :1;
+  bool prefix_keys :1;
+  bool engine_incarnation :1;
+  bool weights_version :1;
+  bool streamed :1;
+  bool resume_position :1;
+  bool repeatable :1;
+  bool idempotency_key :1;
+  bool wait_limit_us :1;
+  bool prompt_tokens :1;
+  bool output_tokens :1;
+  bool traceparent :1;
+  bool second_attempt :1;
+  bool weight :1;
+  bool long_work :1;
+  bool priority :1;
+  bool import_from :1;
 } _Dispatch__isset;
 
 class Dispatch : public virtual ::apache::thrift::TBase {
  public:
+
   Dispatch(const Dispatch&);
   Dispatch(Dispatch&&) noexcept;
   Dispatch& operator=(const Dispatch&);
   Dispatch& operator=(Dispatch&&) noexcept;
   Dispatch() noexcept
-      : attempt(0),
-        config_version(0),
-        organisation(),
-        kind(),
-        target(),
-        method(),
-        path(),
-        content_type(),
-        body(),
-        engine_incarnation(0),
-        weights_version(0),
-        streamed(0),
-        resume_position(0),
-        repeatable(0),
-        idempotency_key(),
-        wait_limit_us(0),
-        prompt_tokens(0),
-        output_tokens(0),
-        traceparent(),
-        second_attempt(0),
-        weight(0),
-        long_work(0),
-        priority(0),
-        import_from() {}
+           : attempt(0),
+             config_version(0),
+             organisation(),
+             kind(),
+             target(),
+             method(),
+             path(),
+             content_type(),
+             body(),
+             engine_incarnation(0),
+             weights_version(0),
+             streamed(0),
+             resume_position(0),
+             repeatable(0),
+             idempotency_key(),
+             wait_limit_us(0),
+             prompt_tokens(0),
+             output_tokens(0),
+             traceparent(),
+             second_attempt(0),
+             weight(0),
+             long_work(0),
+             priority(0),
+             import_from() {
+  }
 
   virtual ~Dispatch() noexcept;
   Id request_id;
@@ -591,7 +592,7 @@
   std::string path;
   std::string content_type;
   std::string body;
-  std::vector<int64_t> prefix_keys;
+  std::vector<int64_t>  prefix_keys;
   int64_t engine_incarnation;
   int64_t weights_version;
   bool streamed;
@@ -630,7 +631,7 @@
 
   void __set_body(const std::string& val);
 
-  void __set_prefix_keys(const std::vector<int64_t>& val);
+  void __set_prefix_keys(const std::vector<int64_t> & val);
 
   void __set_engine_incarnation(const int64_t val);
 
@@ -662,7 +663,8 @@
 
   void __set_import_from(const std::string& val);
 
-  bool operator==(const Dispatch& rhs) const {
+  bool operator == (const Dispatch & rhs) const
+  {
     if (!(request_id == rhs.request_id))
       return false;
     if (!(attempt == rhs.attempt))
@@ -717,9 +719,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Dispatch& rhs) const { return !(*this == rhs); }
+  bool operator != (const Dispatch &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Dispatch&) const;
+  bool operator < (const Dispatch & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -727,41 +731,36 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Dispatch& a, Dispatch& b);
+void swap(Dispatch &a, Dispatch &b);
 
 std::ostream& operator<<(std::ostream& out, const Dispatch& obj);
 
 typedef struct _ReplyHead__isset {
-  _ReplyHead__isset()
-      : request_id(false),
-        attempt(false),
-        sequence(false),
-        status(false),
-        content_type(false),
-        position(false),
-        replayed(false) {}
-  bool request_id : 1;
-  bool attempt : 1;
-  bool sequence : 1;
-  bool status : 1;
-  bool content_type : 1;
-  bool position : 1;
-  bool replayed : 1;
+  _ReplyHead__isset() : request_id(false), attempt(false), sequence(false), status(false), content_type(false), position(false), replayed(false) {}
+  bool request_id :1;
+  bool attempt :1;
+  bool sequence :1;
+  bool status :1;
+  bool content_type :1;
+  bool position :1;
+  bool replayed :1;
 } _ReplyHead__isset;
 
 class ReplyHead : public virtual ::apache::thrift::TBase {
  public:
+
   ReplyHead(const ReplyHead&);
   ReplyHead(ReplyHead&&) noexcept;
   ReplyHead& operator=(const ReplyHead&);
   ReplyHead& operator=(ReplyHead&&) noexcept;
   ReplyHead() noexcept
-      : attempt(0),
-        sequence(0),
-        status(0),
-        content_type(),
-        position(0),
-        replayed(0) {}
+            : attempt(0),
+              sequence(0),
+              status(0),
+              content_type(),
+              position(0),
+              replayed(0) {
+  }
 
   virtual ~ReplyHead() noexcept;
   Id request_id;
@@ -788,7 +787,8 @@
 
   void __set_replayed(const bool val);
 
-  bool operator==(const ReplyHead& rhs) const {
+  bool operator == (const ReplyHead & rhs) const
+  {
     if (!(request_id == rhs.request_id))
       return false;
     if (!(attempt == rhs.attempt))
@@ -805,9 +805,11 @@
       return false;
     return true;
   }
-  bool operator!=(const ReplyHead& rhs) const { return !(*this == rhs); }
+  bool operator != (const ReplyHead &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ReplyHead&) const;
+  bool operator < (const ReplyHead & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -815,31 +817,32 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ReplyHead& a, ReplyHead& b);
+void swap(ReplyHead &a, ReplyHead &b);
 
 std::ostream& operator<<(std::ostream& out, const ReplyHead& obj);
 
 typedef struct _ReplyChunk__isset {
-  _ReplyChunk__isset()
-      : request_id(false),
-        attempt(false),
-        sequence(false),
-        position(false),
-        data(false) {}
-  bool request_id : 1;
-  bool attempt : 1;
-  bool sequence : 1;
-  bool position : 1;
-  bool data : 1;
+  _ReplyChunk__isset() : request_id(false), attempt(false), sequence(false), position(false), data(false) {}
+  bool request_id :1;
+  bool attempt :1;
+  bool sequence :1;
+  bool position :1;
+  bool data :1;
 } _ReplyChunk__isset;
 
 class ReplyChunk : public virtual ::apache::thrift::TBase {
  public:
+
   ReplyChunk(const ReplyChunk&);
   ReplyChunk(ReplyChunk&&) noexcept;
   ReplyChunk& operator=(const ReplyChunk&);
   ReplyChunk& operator=(ReplyChunk&&) noexcept;
-  ReplyChunk() noexcept : attempt(0), sequence(0), position(0), data() {}
+  ReplyChunk() noexcept
+             : attempt(0),
+               sequence(0),
+               position(0),
+               data() {
+  }
 
   virtual ~ReplyChunk() noexcept;
   Id request_id;
@@ -860,7 +863,8 @@
 
   void __set_data(const std::string& val);
 
-  bool operator==(const ReplyChunk& rhs) const {
+  bool operator == (const ReplyChunk & rhs) const
+  {
     if (!(request_id == rhs.request_id))
       return false;
     if (!(attempt == rhs.attempt))
@@ -873,9 +877,11 @@
       return false;
     return true;
   }
-  bool operator!=(const ReplyChunk& rhs) const { return !(*this == rhs); }
+  bool operator != (const ReplyChunk &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ReplyChunk&) const;
+  bool operator < (const ReplyChunk & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -883,56 +889,46 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ReplyChunk& a, ReplyChunk& b);
+void swap(ReplyChunk &a, ReplyChunk &b);
 
 std::ostream& operator<<(std::ostream& out, const ReplyChunk& obj);
 
 typedef struct _ReplyEnd__isset {
-  _ReplyEnd__isset()
-      : request_id(false),
-        attempt(false),
-        sequence(false),
-        position(false),
-        outcome(false),
-        reason(false),
-        detail(false),
-        cached_tokens(false),
-        prefill_tokens(false),
-        output_tokens(false),
-        queue_us(false),
-        first_token_us(false) {}
-  bool request_id : 1;
-  bool attempt : 1;
-  bool sequence : 1;
-  bool position : 1;
-  bool outcome : 1;
-  bool reason : 1;
-  bool detail : 1;
-  bool cached_tokens : 1;
-  bool prefill_tokens : 1;
-  bool output_tokens : 1;
-  bool queue_us : 1;
-  bool first_token_us : 1;
+  _ReplyEnd__isset() : request_id(false), attempt(false), sequence(false), position(false), outcome(false), reason(false), detail(false), cached_tokens(false), prefill_tokens(false), output_tokens(false), queue_us(false), first_token_us(false) {}
+  bool request_id :1;
+  bool attempt :1;
+  bool sequence :1;
+  bool position :1;
+  bool outcome :1;
+  bool reason :1;
+  bool detail :1;
+  bool cached_tokens :1;
+  bool prefill_tokens :1;
+  bool output_tokens :1;
+  bool queue_us :1;
+  bool first_token_us :1;
 } _ReplyEnd__isset;
 
 class ReplyEnd : public virtual ::apache::thrift::TBase {
  public:
+
   ReplyEnd(const ReplyEnd&);
   ReplyEnd(ReplyEnd&&) noexcept;
   ReplyEnd& operator=(const ReplyEnd&);
   ReplyEnd& operator=(ReplyEnd&&) noexcept;
   ReplyEnd() noexcept
-      : attempt(0),
-        sequence(0),
-        position(0),
-        outcome(static_cast<Outcome::type>(0)),
-        reason(static_cast<Reason::type>(0)),
-        detail(),
-        cached_tokens(0),
-        prefill_tokens(0),
-        output_tokens(0),
-        queue_us(0),
-        first_token_us(0) {}
+           : attempt(0),
+             sequence(0),
+             position(0),
+             outcome(static_cast<Outcome::type>(0)),
+             reason(static_cast<Reason::type>(0)),
+             detail(),
+             cached_tokens(0),
+             prefill_tokens(0),
+             output_tokens(0),
+             queue_us(0),
+             first_token_us(0) {
+  }
 
   virtual ~ReplyEnd() noexcept;
   Id request_id;
@@ -940,12 +936,12 @@
   int64_t sequence;
   int64_t position;
   /**
-   *
+   * 
    * @see Outcome
    */
   Outcome::type outcome;
   /**
-   *
+   * 
    * @see Reason
    */
   Reason::type reason;
@@ -982,7 +978,8 @@
 
   void __set_first_token_us(const int64_t val);
 
-  bool operator==(const ReplyEnd& rhs) const {
+  bool operator == (const ReplyEnd & rhs) const
+  {
     if (!(request_id == rhs.request_id))
       return false;
     if (!(attempt == rhs.attempt))
@@ -1009,9 +1006,11 @@
       return false;
     return true;
   }
-  bool operator!=(const ReplyEnd& rhs) const { return !(*this == rhs); }
+  bool operator != (const ReplyEnd &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ReplyEnd&) const;
+  bool operator < (const ReplyEnd & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1019,52 +1018,47 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ReplyEnd& a, ReplyEnd& b);
+void swap(ReplyEnd &a, ReplyEnd &b);
 
 std::ostream& operator<<(std::ostream& out, const ReplyEnd& obj);
 
 typedef struct _Refusal__isset {
-  _Refusal__isset()
-      : request_id(false),
-        attempt(false),
-        outcome(false),
-        reason(false),
-        detail(false),
-        retry_after_ms(false),
-        config_version(false) {}
-  bool request_id : 1;
-  bool attempt : 1;
-  bool outcome : 1;
-  bool reason : 1;
-  bool detail : 1;
-  bool retry_after_ms : 1;
-  bool config_version : 1;
+  _Refusal__isset() : request_id(false), attempt(false), outcome(false), reason(false), detail(false), retry_after_ms(false), config_version(false) {}
+  bool request_id :1;
+  bool attempt :1;
+  bool outcome :1;
+  bool reason :1;
+  bool detail :1;
+  bool retry_after_ms :1;
+  bool config_version :1;
 } _Refusal__isset;
 
 class Refusal : public virtual ::apache::thrift::TBase {
  public:
+
   Refusal(const Refusal&);
   Refusal(Refusal&&) noexcept;
   Refusal& operator=(const Refusal&);
   Refusal& operator=(Refusal&&) noexcept;
   Refusal() noexcept
-      : attempt(0),
-        outcome(static_cast<Outcome::type>(0)),
-        reason(static_cast<Reason::type>(0)),
-        detail(),
-        retry_after_ms(0),
-        config_version(0) {}
+          : attempt(0),
+            outcome(static_cast<Outcome::type>(0)),
+            reason(static_cast<Reason::type>(0)),
+            detail(),
+            retry_after_ms(0),
+            config_version(0) {
+  }
 
   virtual ~Refusal() noexcept;
   Id request_id;
   int32_t attempt;
   /**
-   *
+   * 
    * @see Outcome
    */
   Outcome::type outcome;
   /**
-   *
+   * 
    * @see Reason
    */
   Reason::type reason;
@@ -1088,7 +1082,8 @@
 
   void __set_config_version(const int64_t val);
 
-  bool operator==(const Refusal& rhs) const {
+  bool operator == (const Refusal & rhs) const
+  {
     if (!(request_id == rhs.request_id))
       return false;
     if (!(attempt == rhs.attempt))
@@ -1105,9 +1100,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Refusal& rhs) const { return !(*this == rhs); }
+  bool operator != (const Refusal &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Refusal&) const;
+  bool operator < (const Refusal & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1115,23 +1112,26 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Refusal& a, Refusal& b);
+void swap(Refusal &a, Refusal &b);
 
 std::ostream& operator<<(std::ostream& out, const Refusal& obj);
 
 typedef struct _Cancel__isset {
   _Cancel__isset() : request_id(false), attempt(false) {}
-  bool request_id : 1;
-  bool attempt : 1;
+  bool request_id :1;
+  bool attempt :1;
 } _Cancel__isset;
 
 class Cancel : public virtual ::apache::thrift::TBase {
  public:
+
   Cancel(const Cancel&) noexcept;
   Cancel(Cancel&&) noexcept;
   Cancel& operator=(const Cancel&) noexcept;
   Cancel& operator=(Cancel&&) noexcept;
-  Cancel() noexcept : attempt(0) {}
+  Cancel() noexcept
+         : attempt(0) {
+  }
 
   virtual ~Cancel() noexcept;
   Id request_id;
@@ -1143,16 +1143,19 @@
 
   void __set_attempt(const int32_t val);
 
-  bool operator==(const Cancel& rhs) const {
+  bool operator == (const Cancel & rhs) const
+  {
     if (!(request_id == rhs.request_id))
       return false;
     if (!(attempt == rhs.attempt))
       return false;
     return true;
   }
-  bool operator!=(const Cancel& rhs) const { return !(*this == rhs); }
+  bool operator != (const Cancel &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Cancel&) const;
+  bool operator < (const Cancel & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1160,33 +1163,36 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Cancel& a, Cancel& b);
+void swap(Cancel &a, Cancel &b);
 
 std::ostream& operator<<(std::ostream& out, const Cancel& obj);
 
 typedef struct _CancelResult__isset {
-  _CancelResult__isset()
-      : request_id(false), attempt(false), outcome(false), incarnation(false) {}
-  bool request_id : 1;
-  bool attempt : 1;
-  bool outcome : 1;
-  bool incarnation : 1;
+  _CancelResult__isset() : request_id(false), attempt(false), outcome(false), incarnation(false) {}
+  bool request_id :1;
+  bool attempt :1;
+  bool outcome :1;
+  bool incarnation :1;
 } _CancelResult__isset;
 
 class CancelResult : public virtual ::apache::thrift::TBase {
  public:
+
   CancelResult(const CancelResult&) noexcept;
   CancelResult(CancelResult&&) noexcept;
   CancelResult& operator=(const CancelResult&) noexcept;
   CancelResult& operator=(CancelResult&&) noexcept;
   CancelResult() noexcept
-      : attempt(0), outcome(static_cast<Outcome::type>(0)), incarnation(0) {}
+               : attempt(0),
+                 outcome(static_cast<Outcome::type>(0)),
+                 incarnation(0) {
+  }
 
   virtual ~CancelResult() noexcept;
   Id request_id;
   int32_t attempt;
   /**
-   *
+   * 
    * @see Outcome
    */
   Outcome::type outcome;
@@ -1202,7 +1208,8 @@
 
   void __set_incarnation(const int64_t val);
 
-  bool operator==(const CancelResult& rhs) const {
+  bool operator == (const CancelResult & rhs) const
+  {
     if (!(request_id == rhs.request_id))
       return false;
     if (!(attempt == rhs.attempt))
@@ -1213,9 +1220,11 @@
       return false;
     return true;
   }
-  bool operator!=(const CancelResult& rhs) const { return !(*this == rhs); }
+  bool operator != (const CancelResult &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const CancelResult&) const;
+  bool operator < (const CancelResult & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1223,24 +1232,28 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(CancelResult& a, CancelResult& b);
+void swap(CancelResult &a, CancelResult &b);
 
 std::ostream& operator<<(std::ostream& out, const CancelResult& obj);
 
 typedef struct _StreamCredit__isset {
   _StreamCredit__isset() : request_id(false), attempt(false), position(false) {}
-  bool request_id : 1;
-  bool attempt : 1;
-  bool position : 1;
+  bool request_id :1;
+  bool attempt :1;
+  bool position :1;
 } _StreamCredit__isset;
 
 class StreamCredit : public virtual ::apache::thrift::TBase {
  public:
+
   StreamCredit(const StreamCredit&) noexcept;
   StreamCredit(StreamCredit&&) noexcept;
   StreamCredit& operator=(const StreamCredit&) noexcept;
   StreamCredit& operator=(StreamCredit&&) noexcept;
-  StreamCredit() noexcept : attempt(0), position(0) {}
+  StreamCredit() noexcept
+               : attempt(0),
+                 position(0) {
+  }
 
   virtual ~StreamCredit() noexcept;
   Id request_id;
@@ -1255,7 +1268,8 @@
 
   void __set_position(const int64_t val);
 
-  bool operator==(const StreamCredit& rhs) const {
+  bool operator == (const StreamCredit & rhs) const
+  {
     if (!(request_id == rhs.request_id))
       return false;
     if (!(attempt == rhs.attempt))
@@ -1264,9 +1278,11 @@
       return false;
     return true;
   }
-  bool operator!=(const StreamCredit& rhs) const { return !(*this == rhs); }
+  bool operator != (const StreamCredit &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const StreamCredit&) const;
+  bool operator < (const StreamCredit & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1274,29 +1290,30 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(StreamCredit& a, StreamCredit& b);
+void swap(StreamCredit &a, StreamCredit &b);
 
 std::ostream& operator<<(std::ostream& out, const StreamCredit& obj);
 
 typedef struct _Attach__isset {
-  _Attach__isset()
-      : request_id(false),
-        organisation(false),
-        position(false),
-        attempt(false) {}
-  bool request_id : 1;
-  bool organisation : 1;
-  bool position : 1;
-  bool attempt : 1;
+  _Attach__isset() : request_id(false), organisation(false), position(false), attempt(false) {}
+  bool request_id :1;
+  bool organisation :1;
+  bool position :1;
+  bool attempt :1;
 } _Attach__isset;
 
 class Attach : public virtual ::apache::thrift::TBase {
  public:
+
   Attach(const Attach&);
   Attach(Attach&&) noexcept;
   Attach& operator=(const Attach&);
   Attach& operator=(Attach&&) noexcept;
-  Attach() noexcept : organisation(), position(0), attempt(0) {}
+  Attach() noexcept
+         : organisation(),
+           position(0),
+           attempt(0) {
+  }
 
   virtual ~Attach() noexcept;
   Id request_id;
@@ -1314,7 +1331,8 @@
 
   void __set_attempt(const int32_t val);
 
-  bool operator==(const Attach& rhs) const {
+  bool operator == (const Attach & rhs) const
+  {
     if (!(request_id == rhs.request_id))
       return false;
     if (!(organisation == rhs.organisation))
@@ -1325,9 +1343,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Attach& rhs) const { return !(*this == rhs); }
+  bool operator != (const Attach &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Attach&) const;
+  bool operator < (const Attach & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1335,39 +1355,35 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Attach& a, Attach& b);
+void swap(Attach &a, Attach &b);
 
 std::ostream& operator<<(std::ostream& out, const Attach& obj);
 
 typedef struct _ConfigSection__isset {
-  _ConfigSection__isset()
-      : name(false),
-        content(false),
-        removed(false),
-        same_prefix(false),
-        same_suffix(false),
-        checksum(false) {}
-  bool name : 1;
-  bool content : 1;
-  bool removed : 1;
-  bool same_prefix : 1;
-  bool same_suffix : 1;
-  bool checksum : 1;
+  _ConfigSection__isset() : name(false), content(false), removed(false), same_prefix(false), same_suffix(false), checksum(false) {}
+  bool name :1;
+  bool content :1;
+  bool removed :1;
+  bool same_prefix :1;
+  bool same_suffix :1;
+  bool checksum :1;
 } _ConfigSection__isset;
 
 class ConfigSection : public virtual ::apache::thrift::TBase {
  public:
+
   ConfigSection(const ConfigSection&);
   ConfigSection(ConfigSection&&) noexcept;
   ConfigSection& operator=(const ConfigSection&);
   ConfigSection& operator=(ConfigSection&&) noexcept;
   ConfigSection() noexcept
-      : name(),
-        content(),
-        removed(0),
-        same_prefix(0),
-        same_suffix(0),
-        checksum(0) {}
+                : name(),
+                  content(),
+                  removed(0),
+                  same_prefix(0),
+                  same_suffix(0),
+                  checksum(0) {
+  }
 
   virtual ~ConfigSection() noexcept;
   std::string name;
@@ -1391,7 +1407,8 @@
 
   void __set_checksum(const int32_t val);
 
-  bool operator==(const ConfigSection& rhs) const {
+  bool operator == (const ConfigSection & rhs) const
+  {
     if (!(name == rhs.name))
       return false;
     if (!(content == rhs.content))
@@ -1406,9 +1423,11 @@
       return false;
     return true;
   }
-  bool operator!=(const ConfigSection& rhs) const { return !(*this == rhs); }
+  bool operator != (const ConfigSection &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ConfigSection&) const;
+  bool operator < (const ConfigSection & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1416,33 +1435,33 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ConfigSection& a, ConfigSection& b);
+void swap(ConfigSection &a, ConfigSection &b);
 
 std::ostream& operator<<(std::ostream& out, const ConfigSection& obj);
 
 typedef struct _ConfigChange__isset {
-  _ConfigChange__isset()
-      : version(false),
-        change_id(false),
-        author(false),
-        at_ms(false),
-        answers_digest(false),
-        sections(false) {}
-  bool version : 1;
-  bool change_id : 1;
-  bool author : 1;
-  bool at_ms : 1;
-  bool answers_digest : 1;
-  bool sections : 1;
+  _ConfigChange__isset() : version(false), change_id(false), author(false), at_ms(false), answers_digest(false), sections(false) {}
+  bool version :1;
+  bool change_id :1;
+  bool author :1;
+  bool at_ms :1;
+  bool answers_digest :1;
+  bool sections :1;
 } _ConfigChange__isset;
 
 class ConfigChange : public virtual ::apache::thrift::TBase {
  public:
+
   ConfigChange(const ConfigChange&);
   ConfigChange(ConfigChange&&) noexcept;
   ConfigChange& operator=(const ConfigChange&);
   ConfigChange& operator=(ConfigChange&&) noexcept;
-  ConfigChange() noexcept : version(0), author(), at_ms(0), answers_digest() {}
+  ConfigChange() noexcept
+               : version(0),
+                 author(),
+                 at_ms(0),
+                 answers_digest() {
+  }
 
   virtual ~ConfigChange() noexcept;
   int64_t version;
@@ -1450,7 +1469,7 @@
   std::string author;
   int64_t at_ms;
   std::string answers_digest;
-  std::vector<ConfigSection> sections;
+  std::vector<ConfigSection>  sections;
 
   _ConfigChange__isset __isset;
 
@@ -1464,9 +1483,10 @@
 
   void __set_answers_digest(const std::string& val);
 
-  void __set_sections(const std::vector<ConfigSection>& val);
+  void __set_sections(const std::vector<ConfigSection> & val);
 
-  bool operator==(const ConfigChange& rhs) const {
+  bool operator == (const ConfigChange & rhs) const
+  {
     if (!(version == rhs.version))
       return false;
     if (!(change_id == rhs.change_id))
@@ -1481,9 +1501,11 @@
       return false;
     return true;
   }
-  bool operator!=(const ConfigChange& rhs) const { return !(*this == rhs); }
+  bool operator != (const ConfigChange &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ConfigChange&) const;
+  bool operator < (const ConfigChange & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1491,23 +1513,27 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ConfigChange& a, ConfigChange& b);
+void swap(ConfigChange &a, ConfigChange &b);
 
 std::ostream& operator<<(std::ostream& out, const ConfigChange& obj);
 
 typedef struct _ConfigDigest__isset {
   _ConfigDigest__isset() : version(false), instance(false) {}
-  bool version : 1;
-  bool instance : 1;
+  bool version :1;
+  bool instance :1;
 } _ConfigDigest__isset;
 
 class ConfigDigest : public virtual ::apache::thrift::TBase {
  public:
+
   ConfigDigest(const ConfigDigest&);
   ConfigDigest(ConfigDigest&&) noexcept;
   ConfigDigest& operator=(const ConfigDigest&);
   ConfigDigest& operator=(ConfigDigest&&) noexcept;
-  ConfigDigest() noexcept : version(0), instance() {}
+  ConfigDigest() noexcept
+               : version(0),
+                 instance() {
+  }
 
   virtual ~ConfigDigest() noexcept;
   int64_t version;
@@ -1519,16 +1545,19 @@
 
   void __set_instance(const std::string& val);
 
-  bool operator==(const ConfigDigest& rhs) const {
+  bool operator == (const ConfigDigest & rhs) const
+  {
     if (!(version == rhs.version))
       return false;
     if (!(instance == rhs.instance))
       return false;
     return true;
   }
-  bool operator!=(const ConfigDigest& rhs) const { return !(*this == rhs); }
+  bool operator != (const ConfigDigest &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ConfigDigest&) const;
+  bool operator < (const ConfigDigest & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1536,22 +1565,25 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ConfigDigest& a, ConfigDigest& b);
+void swap(ConfigDigest &a, ConfigDigest &b);
 
 std::ostream& operator<<(std::ostream& out, const ConfigDigest& obj);
 
 typedef struct _ConfigPull__isset {
   _ConfigPull__isset() : version(false) {}
-  bool version : 1;
+  bool version :1;
 } _ConfigPull__isset;
 
 class ConfigPull : public virtual ::apache::thrift::TBase {
  public:
+
   ConfigPull(const ConfigPull&) noexcept;
   ConfigPull(ConfigPull&&) noexcept;
   ConfigPull& operator=(const ConfigPull&) noexcept;
   ConfigPull& operator=(ConfigPull&&) noexcept;
-  ConfigPull() noexcept : version(0) {}
+  ConfigPull() noexcept
+             : version(0) {
+  }
 
   virtual ~ConfigPull() noexcept;
   int64_t version;
@@ -1560,14 +1592,17 @@
 
   void __set_version(const int64_t val);
 
-  bool operator==(const ConfigPull& rhs) const {
+  bool operator == (const ConfigPull & rhs) const
+  {
     if (!(version == rhs.version))
       return false;
     return true;
   }
-  bool operator!=(const ConfigPull& rhs) const { return !(*this == rhs); }
+  bool operator != (const ConfigPull &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ConfigPull&) const;
+  bool operator < (const ConfigPull & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1575,30 +1610,34 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ConfigPull& a, ConfigPull& b);
+void swap(ConfigPull &a, ConfigPull &b);
 
 std::ostream& operator<<(std::ostream& out, const ConfigPull& obj);
 
 typedef struct _ConfigPush__isset {
-  _ConfigPush__isset()
-      : snapshot(false), changes(false), piece(false), pieces(false) {}
-  bool snapshot : 1;
-  bool changes : 1;
-  bool piece : 1;
-  bool pieces : 1;
+  _ConfigPush__isset() : snapshot(false), changes(false), piece(false), pieces(false) {}
+  bool snapshot :1;
+  bool changes :1;
+  bool piece :1;
+  bool pieces :1;
 } _ConfigPush__isset;
 
 class ConfigPush : public virtual ::apache::thrift::TBase {
  public:
+
   ConfigPush(const ConfigPush&);
   ConfigPush(ConfigPush&&) noexcept;
   ConfigPush& operator=(const ConfigPush&);
   ConfigPush& operator=(ConfigPush&&) noexcept;
-  ConfigPush() noexcept : snapshot(0), piece(0), pieces(0) {}
+  ConfigPush() noexcept
+             : snapshot(0),
+               piece(0),
+               pieces(0) {
+  }
 
   virtual ~ConfigPush() noexcept;
   bool snapshot;
-  std::vector<ConfigChange> changes;
+  std::vector<ConfigChange>  changes;
   int32_t piece;
   int32_t pieces;
 
@@ -1606,13 +1645,14 @@
 
   void __set_snapshot(const bool val);
 
-  void __set_changes(const std::vector<ConfigChange>& val);
+  void __set_changes(const std::vector<ConfigChange> & val);
 
   void __set_piece(const int32_t val);
 
   void __set_pieces(const int32_t val);
 
-  bool operator==(const ConfigPush& rhs) const {
+  bool operator == (const ConfigPush & rhs) const
+  {
     if (!(snapshot == rhs.snapshot))
       return false;
     if (!(changes == rhs.changes))
@@ -1623,9 +1663,11 @@
       return false;
     return true;
   }
-  bool operator!=(const ConfigPush& rhs) const { return !(*this == rhs); }
+  bool operator != (const ConfigPush &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ConfigPush&) const;
+  bool operator < (const ConfigPush & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1633,59 +1675,50 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ConfigPush& a, ConfigPush& b);
+void swap(ConfigPush &a, ConfigPush &b);
 
 std::ostream& operator<<(std::ostream& out, const ConfigPush& obj);
 
 typedef struct _Member__isset {
-  _Member__isset()
-      : instance(false),
-        role(false),
-        data_centre(false),
-        address(false),
-        port(false),
-        incarnation(false),
-        revision(false),
-        state(false),
-        target(false),
-        weights_version(false),
-        config_version(false) {}
-  bool instance : 1;
-  bool role : 1;
-  bool data_centre : 1;
-  bool address : 1;
-  bool port : 1;
-  bool incarnation : 1;
-  bool revision : 1;
-  bool state : 1;
-  bool target : 1;
-  bool weights_version : 1;
-  bool config_version : 1;
+  _Member__isset() : instance(false), role(false), data_centre(false), address(false), port(false), incarnation(false), revision(false), state(false), target(false), weights_version(false), config_version(false) {}
+  bool instance :1;
+  bool role :1;
+  bool data_centre :1;
+  bool address :1;
+  bool port :1;
+  bool incarnation :1;
+  bool revision :1;
+  bool state :1;
+  bool target :1;
+  bool weights_version :1;
+  bool config_version :1;
 } _Member__isset;
 
 class Member : public virtual ::apache::thrift::TBase {
  public:
+
   Member(const Member&);
   Member(Member&&) noexcept;
   Member& operator=(const Member&);
   Member& operator=(Member&&) noexcept;
   Member() noexcept
-      : instance(),
-        role(static_cast<Role::type>(0)),
-        data_centre(),
-        address(),
-        port(0),
-        incarnation(0),
-        revision(0),
-        state(static_cast<MemberState::type>(0)),
-        target(),
-        weights_version(0),
-        config_version(0) {}
+         : instance(),
+           role(static_cast<Role::type>(0)),
+           data_centre(),
+           address(),
+           port(0),
+           incarnation(0),
+           revision(0),
+           state(static_cast<MemberState::type>(0)),
+           target(),
+           weights_version(0),
+           config_version(0) {
+  }
 
   virtual ~Member() noexcept;
   std::string instance;
   /**
-   *
+   * 
    * @see Role
    */
   Role::type role;
@@ -1695,7 +1728,7 @@
   int64_t incarnation;
   int64_t revision;
   /**
-   *
+   * 
    * @see MemberState
    */
   MemberState::type state;
@@ -1727,7 +1760,8 @@
 
   void __set_config_version(const int64_t val);
 
-  bool operator==(const Member& rhs) const {
+  bool operator == (const Member & rhs) const
+  {
     if (!(instance == rhs.instance))
       return false;
     if (!(role == rhs.role))
@@ -1752,9 +1786,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Member& rhs) const { return !(*this == rhs); }
+  bool operator != (const Member &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Member&) const;
+  bool operator < (const Member & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1762,38 +1798,43 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Member& a, Member& b);
+void swap(Member &a, Member &b);
 
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
 typedef struct _MemberUpdate__isset {
   _MemberUpdate__isset() : members(false) {}
-  bool members : 1;
+  bool members :1;
 } _MemberUpdate__isset;
 
 class MemberUpdate : public virtual ::apache::thrift::TBase {
  public:
+
   MemberUpdate(const MemberUpdate&);
   MemberUpdate(MemberUpdate&&) noexcept;
   MemberUpdate& operator=(const MemberUpdate&);
   MemberUpdate& operator=(MemberUpdate&&) noexcept;
-  MemberUpdate() noexcept {}
+  MemberUpdate() noexcept {
+  }
 
   virtual ~MemberUpdate() noexcept;
-  std::vector<Member> members;
+  std::vector<Member>  members;
 
   _MemberUpdate__isset __isset;
 
-  void __set_members(const std::vector<Member>& val);
+  void __set_members(const std::vector<Member> & val);
 
-  bool operator==(const MemberUpdate& rhs) const {
+  bool operator == (const MemberUpdate & rhs) const
+  {
     if (!(members == rhs.members))
       return false;
     return true;
   }
-  bool operator!=(const MemberUpdate& rhs) const { return !(*this == rhs); }
+  bool operator != (const MemberUpdate &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const MemberUpdate&) const;
+  bool operator < (const MemberUpdate & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1801,25 +1842,29 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(MemberUpdate& a, MemberUpdate& b);
+void swap(MemberUpdate &a, MemberUpdate &b);
 
 std::ostream& operator<<(std::ostream& out, const MemberUpdate& obj);
 
 typedef struct _ServiceUse__isset {
-  _ServiceUse__isset()
-      : organisation(false), cost_tokens(false), backlogged(false) {}
-  bool organisation : 1;
-  bool cost_tokens : 1;
-  bool backlogged : 1;
+  _ServiceUse__isset() : organisation(false), cost_tokens(false), backlogged(false) {}
+  bool organisation :1;
+  bool cost_tokens :1;
+  bool backlogged :1;
 } _ServiceUse__isset;
 
 class ServiceUse : public virtual ::apache::thrift::TBase {
  public:
+
   ServiceUse(const ServiceUse&);
   ServiceUse(ServiceUse&&) noexcept;
   ServiceUse& operator=(const ServiceUse&);
   ServiceUse& operator=(ServiceUse&&) noexcept;
-  ServiceUse() noexcept : organisation(), cost_tokens(0), backlogged(0) {}
+  ServiceUse() noexcept
+             : organisation(),
+               cost_tokens(0),
+               backlogged(0) {
+  }
 
   virtual ~ServiceUse() noexcept;
   std::string organisation;
@@ -1834,7 +1879,8 @@
 
   void __set_backlogged(const bool val);
 
-  bool operator==(const ServiceUse& rhs) const {
+  bool operator == (const ServiceUse & rhs) const
+  {
     if (!(organisation == rhs.organisation))
       return false;
     if (!(cost_tokens == rhs.cost_tokens))
@@ -1843,9 +1889,11 @@
       return false;
     return true;
   }
-  bool operator!=(const ServiceUse& rhs) const { return !(*this == rhs); }
+  bool operator != (const ServiceUse &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ServiceUse&) const;
+  bool operator < (const ServiceUse & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1853,34 +1901,37 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ServiceUse& a, ServiceUse& b);
+void swap(ServiceUse &a, ServiceUse &b);
 
 std::ostream& operator<<(std::ostream& out, const ServiceUse& obj);
 
 typedef struct _ShareReport__isset {
-  _ShareReport__isset()
-      : instance(false), period(false), uses(false), stage(false) {}
-  bool instance : 1;
-  bool period : 1;
-  bool uses : 1;
-  bool stage : 1;
+  _ShareReport__isset() : instance(false), period(false), uses(false), stage(false) {}
+  bool instance :1;
+  bool period :1;
+  bool uses :1;
+  bool stage :1;
 } _ShareReport__isset;
 
 class ShareReport : public virtual ::apache::thrift::TBase {
  public:
+
   ShareReport(const ShareReport&);
   ShareReport(ShareReport&&) noexcept;
   ShareReport& operator=(const ShareReport&);
   ShareReport& operator=(ShareReport&&) noexcept;
   ShareReport() noexcept
-      : instance(), period(0), stage(static_cast<ShareStage::type>(0)) {}
+              : instance(),
+                period(0),
+                stage(static_cast<ShareStage::type>(0)) {
+  }
 
   virtual ~ShareReport() noexcept;
   std::string instance;
   int64_t period;
-  std::vector<ServiceUse> uses;
+  std::vector<ServiceUse>  uses;
   /**
-   *
+   * 
    * @see ShareStage
    */
   ShareStage::type stage;
@@ -1891,11 +1942,12 @@
 
   void __set_period(const int64_t val);
 
-  void __set_uses(const std::vector<ServiceUse>& val);
+  void __set_uses(const std::vector<ServiceUse> & val);
 
   void __set_stage(const ShareStage::type val);
 
-  bool operator==(const ShareReport& rhs) const {
+  bool operator == (const ShareReport & rhs) const
+  {
     if (!(instance == rhs.instance))
       return false;
     if (!(period == rhs.period))
@@ -1906,9 +1958,11 @@
       return false;
     return true;
   }
-  bool operator!=(const ShareReport& rhs) const { return !(*this == rhs); }
+  bool operator != (const ShareReport &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ShareReport&) const;
+  bool operator < (const ShareReport & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1916,51 +1970,45 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ShareReport& a, ShareReport& b);
+void swap(ShareReport &a, ShareReport &b);
 
 std::ostream& operator<<(std::ostream& out, const ShareReport& obj);
 
 typedef struct _Order__isset {
-  _Order__isset()
-      : order_id(false),
-        lease(false),
-        fencing_token(false),
-        kind(false),
-        model(false),
-        adapter(false),
-        weights_version(false),
-        role(false) {}
-  bool order_id : 1;
-  bool lease : 1;
-  bool fencing_token : 1;
-  bool kind : 1;
-  bool model : 1;
-  bool adapter : 1;
-  bool weights_version : 1;
-  bool role : 1;
+  _Order__isset() : order_id(false), lease(false), fencing_token(false), kind(false), model(false), adapter(false), weights_version(false), role(false) {}
+  bool order_id :1;
+  bool lease :1;
+  bool fencing_token :1;
+  bool kind :1;
+  bool model :1;
+  bool adapter :1;
+  bool weights_version :1;
+  bool role :1;
 } _Order__isset;
 
 class Order : public virtual ::apache::thrift::TBase {
  public:
+
   Order(const Order&);
   Order(Order&&) noexcept;
   Order& operator=(const Order&);
   Order& operator=(Order&&) noexcept;
   Order() noexcept
-      : lease(),
-        fencing_token(0),
-        kind(static_cast<OrderKind::type>(0)),
-        model(),
-        adapter(),
-        weights_version(0),
-        role() {}
+        : lease(),
+          fencing_token(0),
+          kind(static_cast<OrderKind::type>(0)),
+          model(),
+          adapter(),
+          weights_version(0),
+          role() {
+  }
 
   virtual ~Order() noexcept;
   Id order_id;
   std::string lease;
   int64_t fencing_token;
   /**
-   *
+   * 
    * @see OrderKind
    */
   OrderKind::type kind;
@@ -1987,7 +2035,8 @@
 
   void __set_role(const std::string& val);
 
-  bool operator==(const Order& rhs) const {
+  bool operator == (const Order & rhs) const
+  {
     if (!(order_id == rhs.order_id))
       return false;
     if (!(lease == rhs.lease))
@@ -2006,9 +2055,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Order& rhs) const { return !(*this == rhs); }
+  bool operator != (const Order &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Order&) const;
+  bool operator < (const Order & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2016,26 +2067,30 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Order& a, Order& b);
+void swap(Order &a, Order &b);
 
 std::ostream& operator<<(std::ostream& out, const Order& obj);
 
 typedef struct _OrderResult__isset {
-  _OrderResult__isset()
-      : order_id(false), accepted(false), highest_token(false), detail(false) {}
-  bool order_id : 1;
-  bool accepted : 1;
-  bool highest_token : 1;
-  bool detail : 1;
+  _OrderResult__isset() : order_id(false), accepted(false), highest_token(false), detail(false) {}
+  bool order_id :1;
+  bool accepted :1;
+  bool highest_token :1;
+  bool detail :1;
 } _OrderResult__isset;
 
 class OrderResult : public virtual ::apache::thrift::TBase {
  public:
+
   OrderResult(const OrderResult&);
   OrderResult(OrderResult&&) noexcept;
   OrderResult& operator=(const OrderResult&);
   OrderResult& operator=(OrderResult&&) noexcept;
-  OrderResult() noexcept : accepted(0), highest_token(0), detail() {}
+  OrderResult() noexcept
+              : accepted(0),
+                highest_token(0),
+                detail() {
+  }
 
   virtual ~OrderResult() noexcept;
   Id order_id;
@@ -2053,7 +2108,8 @@
 
   void __set_detail(const std::string& val);
 
-  bool operator==(const OrderResult& rhs) const {
+  bool operator == (const OrderResult & rhs) const
+  {
     if (!(order_id == rhs.order_id))
       return false;
     if (!(accepted == rhs.accepted))
@@ -2064,9 +2120,11 @@
       return false;
     return true;
   }
-  bool operator!=(const OrderResult& rhs) const { return !(*this == rhs); }
+  bool operator != (const OrderResult &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const OrderResult&) const;
+  bool operator < (const OrderResult & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2074,54 +2132,45 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(OrderResult& a, OrderResult& b);
+void swap(OrderResult &a, OrderResult &b);
 
 std::ostream& operator<<(std::ostream& out, const OrderResult& obj);
 
 typedef struct _KindRules__isset {
-  _KindRules__isset()
-      : name(false),
-        repeatable(false),
-        wait_limit_ms(false),
-        share(false),
-        target(false),
-        second_attempt(false),
-        prompt_tokens(false),
-        output_tokens(false),
-        first_token_objective_ms(false),
-        token_gap_objective_ms(false),
-        objective_ratio(false) {}
-  bool name : 1;
-  bool repeatable : 1;
-  bool wait_limit_ms : 1;
-  bool share : 1;
-  bool target : 1;
-  bool second_attempt : 1;
-  bool prompt_tokens : 1;
-  bool output_tokens : 1;
-  bool first_token_objective_ms : 1;
-  bool token_gap_objective_ms : 1;
-  bool objective_ratio : 1;
+  _KindRules__isset() : name(false), repeatable(false), wait_limit_ms(false), share(false), target(false), second_attempt(false), prompt_tokens(false), output_tokens(false), first_token_objective_ms(false), token_gap_objective_ms(false), objective_ratio(false) {}
+  bool name :1;
+  bool repeatable :1;
+  bool wait_limit_ms :1;
+  bool share :1;
+  bool target :1;
+  bool second_attempt :1;
+  bool prompt_tokens :1;
+  bool output_tokens :1;
+  bool first_token_objective_ms :1;
+  bool token_gap_objective_ms :1;
+  bool objective_ratio :1;
 } _KindRules__isset;
 
 class KindRules : public virtual ::apache::thrift::TBase {
  public:
+
   KindRules(const KindRules&);
   KindRules(KindRules&&) noexcept;
   KindRules& operator=(const KindRules&);
   KindRules& operator=(KindRules&&) noexcept;
   KindRules() noexcept
-      : name(),
-        repeatable(0),
-        wait_limit_ms(0),
-        share(0),
-        target(),
-        second_attempt(0),
-        prompt_tokens(0),
-        output_tokens(0),
-        first_token_objective_ms(0),
-        token_gap_objective_ms(0),
-        objective_ratio(0) {}
+            : name(),
+              repeatable(0),
+              wait_limit_ms(0),
+              share(0),
+              target(),
+              second_attempt(0),
+              prompt_tokens(0),
+              output_tokens(0),
+              first_token_objective_ms(0),
+              token_gap_objective_ms(0),
+              objective_ratio(0) {
+  }
 
   virtual ~KindRules() noexcept;
   std::string name;
@@ -2160,7 +2209,8 @@
 
   void __set_objective_ratio(const double val);
 
-  bool operator==(const KindRules& rhs) const {
+  bool operator == (const KindRules & rhs) const
+  {
     if (!(name == rhs.name))
       return false;
     if (!(repeatable == rhs.repeatable))
@@ -2185,9 +2235,11 @@
       return false;
     return true;
   }
-  bool operator!=(const KindRules& rhs) const { return !(*this == rhs); }
+  bool operator != (const KindRules &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const KindRules&) const;
+  bool operator < (const KindRules & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2195,38 +2247,38 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(KindRules& a, KindRules& b);
+void swap(KindRules &a, KindRules &b);
 
 std::ostream& operator<<(std::ostream& out, const KindRules& obj);
 
 typedef struct _OrganisationRules__isset {
-  _OrganisationRules__isset()
-      : name(false),
-        share(false),
-        key_digests(false),
-        default_kind(false),
-        kinds(false) {}
-  bool name : 1;
-  bool share : 1;
-  bool key_digests : 1;
-  bool default_kind : 1;
-  bool kinds : 1;
+  _OrganisationRules__isset() : name(false), share(false), key_digests(false), default_kind(false), kinds(false) {}
+  bool name :1;
+  bool share :1;
+  bool key_digests :1;
+  bool default_kind :1;
+  bool kinds :1;
 } _OrganisationRules__isset;
 
 class OrganisationRules : public virtual ::apache::thrift::TBase {
  public:
+
   OrganisationRules(const OrganisationRules&);
   OrganisationRules(OrganisationRules&&) noexcept;
   OrganisationRules& operator=(const OrganisationRules&);
   OrganisationRules& operator=(OrganisationRules&&) noexcept;
-  OrganisationRules() noexcept : name(), share(0), default_kind() {}
+  OrganisationRules() noexcept
+                    : name(),
+                      share(0),
+                      default_kind() {
+  }
 
   virtual ~OrganisationRules() noexcept;
   std::string name;
   double share;
-  std::vector<std::string> key_digests;
+  std::vector<std::string>  key_digests;
   std::string default_kind;
-  std::vector<KindRules> kinds;
+  std::vector<KindRules>  kinds;
 
   _OrganisationRules__isset __isset;
 
@@ -2234,13 +2286,14 @@
 
   void __set_share(const double val);
 
-  void __set_key_digests(const std::vector<std::string>& val);
+  void __set_key_digests(const std::vector<std::string> & val);
 
   void __set_default_kind(const std::string& val);
 
-  void __set_kinds(const std::vector<KindRules>& val);
+  void __set_kinds(const std::vector<KindRules> & val);
 
-  bool operator==(const OrganisationRules& rhs) const {
+  bool operator == (const OrganisationRules & rhs) const
+  {
     if (!(name == rhs.name))
       return false;
     if (!(share == rhs.share))
@@ -2253,11 +2306,11 @@
       return false;
     return true;
   }
-  bool operator!=(const OrganisationRules& rhs) const {
+  bool operator != (const OrganisationRules &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator<(const OrganisationRules&) const;
+  bool operator < (const OrganisationRules & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2265,36 +2318,33 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(OrganisationRules& a, OrganisationRules& b);
+void swap(OrganisationRules &a, OrganisationRules &b);
 
 std::ostream& operator<<(std::ostream& out, const OrganisationRules& obj);
 
 typedef struct _TargetRules__isset {
-  _TargetRules__isset()
-      : name(false),
-        engine(false),
-        checks_fencing_token(false),
-        weights_version(false),
-        max_loads(false) {}
-  bool name : 1;
-  bool engine : 1;
-  bool checks_fencing_token : 1;
-  bool weights_version : 1;
-  bool max_loads : 1;
+  _TargetRules__isset() : name(false), engine(false), checks_fencing_token(false), weights_version(false), max_loads(false) {}
+  bool name :1;
+  bool engine :1;
+  bool checks_fencing_token :1;
+  bool weights_version :1;
+  bool max_loads :1;
 } _TargetRules__isset;
 
 class TargetRules : public virtual ::apache::thrift::TBase {
  public:
+
   TargetRules(const TargetRules&);
   TargetRules(TargetRules&&) noexcept;
   TargetRules& operator=(const TargetRules&);
   TargetRules& operator=(TargetRules&&) noexcept;
   TargetRules() noexcept
-      : name(),
-        engine(0),
-        checks_fencing_token(0),
-        weights_version(0),
-        max_loads(0) {}
+              : name(),
+                engine(0),
+                checks_fencing_token(0),
+                weights_version(0),
+                max_loads(0) {
+  }
 
   virtual ~TargetRules() noexcept;
   std::string name;
@@ -2315,7 +2365,8 @@
 
   void __set_max_loads(const int64_t val);
 
-  bool operator==(const TargetRules& rhs) const {
+  bool operator == (const TargetRules & rhs) const
+  {
     if (!(name == rhs.name))
       return false;
     if (!(engine == rhs.engine))
@@ -2328,9 +2379,11 @@
       return false;
     return true;
   }
-  bool operator!=(const TargetRules& rhs) const { return !(*this == rhs); }
+  bool operator != (const TargetRules &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const TargetRules&) const;
+  bool operator < (const TargetRules & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2338,44 +2391,49 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(TargetRules& a, TargetRules& b);
+void swap(TargetRules &a, TargetRules &b);
 
 std::ostream& operator<<(std::ostream& out, const TargetRules& obj);
 
 typedef struct _FleetRules__isset {
   _FleetRules__isset() : targets(false), operator_key_digests(false) {}
-  bool targets : 1;
-  bool operator_key_digests : 1;
+  bool targets :1;
+  bool operator_key_digests :1;
 } _FleetRules__isset;
 
 class FleetRules : public virtual ::apache::thrift::TBase {
  public:
+
   FleetRules(const FleetRules&);
   FleetRules(FleetRules&&) noexcept;
   FleetRules& operator=(const FleetRules&);
   FleetRules& operator=(FleetRules&&) noexcept;
-  FleetRules() noexcept {}
+  FleetRules() noexcept {
+  }
 
   virtual ~FleetRules() noexcept;
-  std::vector<TargetRules> targets;
-  std::vector<std::string> operator_key_digests;
+  std::vector<TargetRules>  targets;
+  std::vector<std::string>  operator_key_digests;
 
   _FleetRules__isset __isset;
 
-  void __set_targets(const std::vector<TargetRules>& val);
+  void __set_targets(const std::vector<TargetRules> & val);
 
-  void __set_operator_key_digests(const std::vector<std::string>& val);
+  void __set_operator_key_digests(const std::vector<std::string> & val);
 
-  bool operator==(const FleetRules& rhs) const {
+  bool operator == (const FleetRules & rhs) const
+  {
     if (!(targets == rhs.targets))
       return false;
     if (!(operator_key_digests == rhs.operator_key_digests))
       return false;
     return true;
   }
-  bool operator!=(const FleetRules& rhs) const { return !(*this == rhs); }
+  bool operator != (const FleetRules &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const FleetRules&) const;
+  bool operator < (const FleetRules & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2383,26 +2441,31 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(FleetRules& a, FleetRules& b);
+void swap(FleetRules &a, FleetRules &b);
 
 std::ostream& operator<<(std::ostream& out, const FleetRules& obj);
 
 typedef struct _RolloutServer__isset {
-  _RolloutServer__isset()
-      : id(false), model(false), version(false), switching(false) {}
-  bool id : 1;
-  bool model : 1;
-  bool version : 1;
-  bool switching : 1;
+  _RolloutServer__isset() : id(false), model(false), version(false), switching(false) {}
+  bool id :1;
+  bool model :1;
+  bool version :1;
+  bool switching :1;
 } _RolloutServer__isset;
 
 class RolloutServer : public virtual ::apache::thrift::TBase {
  public:
+
   RolloutServer(const RolloutServer&);
   RolloutServer(RolloutServer&&) noexcept;
   RolloutServer& operator=(const RolloutServer&);
   RolloutServer& operator=(RolloutServer&&) noexcept;
-  RolloutServer() noexcept : id(), model(), version(0), switching(0) {}
+  RolloutServer() noexcept
+                : id(),
+                  model(),
+                  version(0),
+                  switching(0) {
+  }
 
   virtual ~RolloutServer() noexcept;
   std::string id;
@@ -2420,7 +2483,8 @@
 
   void __set_switching(const bool val);
 
-  bool operator==(const RolloutServer& rhs) const {
+  bool operator == (const RolloutServer & rhs) const
+  {
     if (!(id == rhs.id))
       return false;
     if (!(model == rhs.model))
@@ -2431,9 +2495,11 @@
       return false;
     return true;
   }
-  bool operator!=(const RolloutServer& rhs) const { return !(*this == rhs); }
+  bool operator != (const RolloutServer &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const RolloutServer&) const;
+  bool operator < (const RolloutServer & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2441,44 +2507,50 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(RolloutServer& a, RolloutServer& b);
+void swap(RolloutServer &a, RolloutServer &b);
 
 std::ostream& operator<<(std::ostream& out, const RolloutServer& obj);
 
 typedef struct _RolloutNotice__isset {
   _RolloutNotice__isset() : instance(false), servers(false) {}
-  bool instance : 1;
-  bool servers : 1;
+  bool instance :1;
+  bool servers :1;
 } _RolloutNotice__isset;
 
 class RolloutNotice : public virtual ::apache::thrift::TBase {
  public:
+
   RolloutNotice(const RolloutNotice&);
   RolloutNotice(RolloutNotice&&) noexcept;
   RolloutNotice& operator=(const RolloutNotice&);
   RolloutNotice& operator=(RolloutNotice&&) noexcept;
-  RolloutNotice() noexcept : instance() {}
+  RolloutNotice() noexcept
+                : instance() {
+  }
 
   virtual ~RolloutNotice() noexcept;
   std::string instance;
-  std::vector<RolloutServer> servers;
+  std::vector<RolloutServer>  servers;
 
   _RolloutNotice__isset __isset;
 
   void __set_instance(const std::string& val);
 
-  void __set_servers(const std::vector<RolloutServer>& val);
+  void __set_servers(const std::vector<RolloutServer> & val);
 
-  bool operator==(const RolloutNotice& rhs) const {
+  bool operator == (const RolloutNotice & rhs) const
+  {
     if (!(instance == rhs.instance))
       return false;
     if (!(servers == rhs.servers))
       return false;
     return true;
   }
-  bool operator!=(const RolloutNotice& rhs) const { return !(*this == rhs); }
+  bool operator != (const RolloutNotice &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const RolloutNotice&) const;
+  bool operator < (const RolloutNotice & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2486,24 +2558,29 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(RolloutNotice& a, RolloutNotice& b);
+void swap(RolloutNotice &a, RolloutNotice &b);
 
 std::ostream& operator<<(std::ostream& out, const RolloutNotice& obj);
 
 typedef struct _ServerUse__isset {
   _ServerUse__isset() : id(false), in_flight(false), unread_tokens(false) {}
-  bool id : 1;
-  bool in_flight : 1;
-  bool unread_tokens : 1;
+  bool id :1;
+  bool in_flight :1;
+  bool unread_tokens :1;
 } _ServerUse__isset;
 
 class ServerUse : public virtual ::apache::thrift::TBase {
  public:
+
   ServerUse(const ServerUse&);
   ServerUse(ServerUse&&) noexcept;
   ServerUse& operator=(const ServerUse&);
   ServerUse& operator=(ServerUse&&) noexcept;
-  ServerUse() noexcept : id(), in_flight(0), unread_tokens(0) {}
+  ServerUse() noexcept
+            : id(),
+              in_flight(0),
+              unread_tokens(0) {
+  }
 
   virtual ~ServerUse() noexcept;
   std::string id;
@@ -2518,7 +2595,8 @@
 
   void __set_unread_tokens(const int64_t val);
 
-  bool operator==(const ServerUse& rhs) const {
+  bool operator == (const ServerUse & rhs) const
+  {
     if (!(id == rhs.id))
       return false;
     if (!(in_flight == rhs.in_flight))
@@ -2527,9 +2605,11 @@
       return false;
     return true;
   }
-  bool operator!=(const ServerUse& rhs) const { return !(*this == rhs); }
+  bool operator != (const ServerUse &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ServerUse&) const;
+  bool operator < (const ServerUse & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2537,39 +2617,43 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ServerUse& a, ServerUse& b);
+void swap(ServerUse &a, ServerUse &b);
 
 std::ostream& operator<<(std::ostream& out, const ServerUse& obj);
 
 typedef struct _SentPrompt__isset {
   _SentPrompt__isset() : server(false), parts(false), tokens(false) {}
-  bool server : 1;
-  bool parts : 1;
-  bool tokens : 1;
+  bool server :1;
+  bool parts :1;
+  bool tokens :1;
 } _SentPrompt__isset;
 
 class SentPrompt : public virtual ::apache::thrift::TBase {
  public:
+
   SentPrompt(const SentPrompt&);
   SentPrompt(SentPrompt&&) noexcept;
   SentPrompt& operator=(const SentPrompt&);
   SentPrompt& operator=(SentPrompt&&) noexcept;
-  SentPrompt() noexcept : server() {}
+  SentPrompt() noexcept
+             : server() {
+  }
 
   virtual ~SentPrompt() noexcept;
   std::string server;
-  std::vector<int64_t> parts;
-  std::vector<int32_t> tokens;
+  std::vector<int64_t>  parts;
+  std::vector<int32_t>  tokens;
 
   _SentPrompt__isset __isset;
 
   void __set_server(const std::string& val);
 
-  void __set_parts(const std::vector<int64_t>& val);
+  void __set_parts(const std::vector<int64_t> & val);
 
-  void __set_tokens(const std::vector<int32_t>& val);
+  void __set_tokens(const std::vector<int32_t> & val);
 
-  bool operator==(const SentPrompt& rhs) const {
+  bool operator == (const SentPrompt & rhs) const
+  {
     if (!(server == rhs.server))
       return false;
     if (!(parts == rhs.parts))
@@ -2578,9 +2662,11 @@
       return false;
     return true;
   }
-  bool operator!=(const SentPrompt& rhs) const { return !(*this == rhs); }
+  bool operator != (const SentPrompt &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const SentPrompt&) const;
+  bool operator < (const SentPrompt & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2588,37 +2674,37 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(SentPrompt& a, SentPrompt& b);
+void swap(SentPrompt &a, SentPrompt &b);
 
 std::ostream& operator<<(std::ostream& out, const SentPrompt& obj);
 
 typedef struct _UseNotice__isset {
-  _UseNotice__isset()
-      : incarnation(false),
-        sequence(false),
-        uses(false),
-        prompts(false),
-        whole(false) {}
-  bool incarnation : 1;
-  bool sequence : 1;
-  bool uses : 1;
-  bool prompts : 1;
-  bool whole : 1;
+  _UseNotice__isset() : incarnation(false), sequence(false), uses(false), prompts(false), whole(false) {}
+  bool incarnation :1;
+  bool sequence :1;
+  bool uses :1;
+  bool prompts :1;
+  bool whole :1;
 } _UseNotice__isset;
 
 class UseNotice : public virtual ::apache::thrift::TBase {
  public:
+
   UseNotice(const UseNotice&);
   UseNotice(UseNotice&&) noexcept;
   UseNotice& operator=(const UseNotice&);
   UseNotice& operator=(UseNotice&&) noexcept;
-  UseNotice() noexcept : incarnation(0), sequence(0), whole(0) {}
+  UseNotice() noexcept
+            : incarnation(0),
+              sequence(0),
+              whole(0) {
+  }
 
   virtual ~UseNotice() noexcept;
   int64_t incarnation;
   int64_t sequence;
-  std::vector<ServerUse> uses;
-  std::vector<SentPrompt> prompts;
+  std::vector<ServerUse>  uses;
+  std::vector<SentPrompt>  prompts;
   bool whole;
 
   _UseNotice__isset __isset;
@@ -2627,13 +2713,14 @@
 
   void __set_sequence(const int64_t val);
 
-  void __set_uses(const std::vector<ServerUse>& val);
+  void __set_uses(const std::vector<ServerUse> & val);
 
-  void __set_prompts(const std::vector<SentPrompt>& val);
+  void __set_prompts(const std::vector<SentPrompt> & val);
 
   void __set_whole(const bool val);
 
-  bool operator==(const UseNotice& rhs) const {
+  bool operator == (const UseNotice & rhs) const
+  {
     if (!(incarnation == rhs.incarnation))
       return false;
     if (!(sequence == rhs.sequence))
@@ -2646,9 +2733,11 @@
       return false;
     return true;
   }
-  bool operator!=(const UseNotice& rhs) const { return !(*this == rhs); }
+  bool operator != (const UseNotice &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const UseNotice&) const;
+  bool operator < (const UseNotice & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2656,26 +2745,31 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(UseNotice& a, UseNotice& b);
+void swap(UseNotice &a, UseNotice &b);
 
 std::ostream& operator<<(std::ostream& out, const UseNotice& obj);
 
 typedef struct _RowCopy__isset {
-  _RowCopy__isset()
-      : key(false), value(false), version(false), removed(false) {}
-  bool key : 1;
-  bool value : 1;
-  bool version : 1;
-  bool removed : 1;
+  _RowCopy__isset() : key(false), value(false), version(false), removed(false) {}
+  bool key :1;
+  bool value :1;
+  bool version :1;
+  bool removed :1;
 } _RowCopy__isset;
 
 class RowCopy : public virtual ::apache::thrift::TBase {
  public:
+
   RowCopy(const RowCopy&);
   RowCopy(RowCopy&&) noexcept;
   RowCopy& operator=(const RowCopy&);
   RowCopy& operator=(RowCopy&&) noexcept;
-  RowCopy() noexcept : key(), value(), version(0), removed(0) {}
+  RowCopy() noexcept
+          : key(),
+            value(),
+            version(0),
+            removed(0) {
+  }
 
   virtual ~RowCopy() noexcept;
   std::string key;
@@ -2693,7 +2787,8 @@
 
   void __set_removed(const bool val);
 
-  bool operator==(const RowCopy& rhs) const {
+  bool operator == (const RowCopy & rhs) const
+  {
     if (!(key == rhs.key))
       return false;
     if (!(value == rhs.value))
@@ -2704,9 +2799,11 @@
       return false;
     return true;
   }
-  bool operator!=(const RowCopy& rhs) const { return !(*this == rhs); }
+  bool operator != (const RowCopy &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const RowCopy&) const;
+  bool operator < (const RowCopy & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2714,32 +2811,36 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(RowCopy& a, RowCopy& b);
+void swap(RowCopy &a, RowCopy &b);
 
 std::ostream& operator<<(std::ostream& out, const RowCopy& obj);
 
 typedef struct _TableCopy__isset {
-  _TableCopy__isset()
-      : name(false), version(false), whole(false), rows(false) {}
-  bool name : 1;
-  bool version : 1;
-  bool whole : 1;
-  bool rows : 1;
+  _TableCopy__isset() : name(false), version(false), whole(false), rows(false) {}
+  bool name :1;
+  bool version :1;
+  bool whole :1;
+  bool rows :1;
 } _TableCopy__isset;
 
 class TableCopy : public virtual ::apache::thrift::TBase {
  public:
+
   TableCopy(const TableCopy&);
   TableCopy(TableCopy&&) noexcept;
   TableCopy& operator=(const TableCopy&);
   TableCopy& operator=(TableCopy&&) noexcept;
-  TableCopy() noexcept : name(), version(0), whole(0) {}
+  TableCopy() noexcept
+            : name(),
+              version(0),
+              whole(0) {
+  }
 
   virtual ~TableCopy() noexcept;
   std::string name;
   int64_t version;
   bool whole;
-  std::vector<RowCopy> rows;
+  std::vector<RowCopy>  rows;
 
   _TableCopy__isset __isset;
 
@@ -2749,9 +2850,10 @@
 
   void __set_whole(const bool val);
 
-  void __set_rows(const std::vector<RowCopy>& val);
+  void __set_rows(const std::vector<RowCopy> & val);
 
-  bool operator==(const TableCopy& rhs) const {
+  bool operator == (const TableCopy & rhs) const
+  {
     if (!(name == rhs.name))
       return false;
     if (!(version == rhs.version))
@@ -2762,9 +2864,11 @@
       return false;
     return true;
   }
-  bool operator!=(const TableCopy& rhs) const { return !(*this == rhs); }
+  bool operator != (const TableCopy &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const TableCopy&) const;
+  bool operator < (const TableCopy & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2772,39 +2876,44 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(TableCopy& a, TableCopy& b);
+void swap(TableCopy &a, TableCopy &b);
 
 std::ostream& operator<<(std::ostream& out, const TableCopy& obj);
 
 typedef struct _FeedCopy__isset {
   _FeedCopy__isset() : age_ms(false), tables(false), from_store(false) {}
-  bool age_ms : 1;
-  bool tables : 1;
-  bool from_store : 1;
+  bool age_ms :1;
+  bool tables :1;
+  bool from_store :1;
 } _FeedCopy__isset;
 
 class FeedCopy : public virtual ::apache::thrift::TBase {
  public:
+
   FeedCopy(const FeedCopy&);
   FeedCopy(FeedCopy&&) noexcept;
   FeedCopy& operator=(const FeedCopy&);
   FeedCopy& operator=(FeedCopy&&) noexcept;
-  FeedCopy() noexcept : age_ms(0), from_store(0) {}
+  FeedCopy() noexcept
+           : age_ms(0),
+             from_store(0) {
+  }
 
   virtual ~FeedCopy() noexcept;
   int64_t age_ms;
-  std::vector<TableCopy> tables;
+  std::vector<TableCopy>  tables;
   bool from_store;
 
   _FeedCopy__isset __isset;
 
   void __set_age_ms(const int64_t val);
 
-  void __set_tables(const std::vector<TableCopy>& val);
+  void __set_tables(const std::vector<TableCopy> & val);
 
   void __set_from_store(const bool val);
 
-  bool operator==(const FeedCopy& rhs) const {
+  bool operator == (const FeedCopy & rhs) const
+  {
     if (!(age_ms == rhs.age_ms))
       return false;
     if (!(tables == rhs.tables))
@@ -2813,9 +2922,11 @@
       return false;
     return true;
   }
-  bool operator!=(const FeedCopy& rhs) const { return !(*this == rhs); }
+  bool operator != (const FeedCopy &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const FeedCopy&) const;
+  bool operator < (const FeedCopy & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2823,23 +2934,27 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(FeedCopy& a, FeedCopy& b);
+void swap(FeedCopy &a, FeedCopy &b);
 
 std::ostream& operator<<(std::ostream& out, const FeedCopy& obj);
 
 typedef struct _TableMark__isset {
   _TableMark__isset() : name(false), version(false) {}
-  bool name : 1;
-  bool version : 1;
+  bool name :1;
+  bool version :1;
 } _TableMark__isset;
 
 class TableMark : public virtual ::apache::thrift::TBase {
  public:
+
   TableMark(const TableMark&);
   TableMark(TableMark&&) noexcept;
   TableMark& operator=(const TableMark&);
   TableMark& operator=(TableMark&&) noexcept;
-  TableMark() noexcept : name(), version(0) {}
+  TableMark() noexcept
+            : name(),
+              version(0) {
+  }
 
   virtual ~TableMark() noexcept;
   std::string name;
@@ -2851,16 +2966,19 @@
 
   void __set_version(const int64_t val);
 
-  bool operator==(const TableMark& rhs) const {
+  bool operator == (const TableMark & rhs) const
+  {
     if (!(name == rhs.name))
       return false;
     if (!(version == rhs.version))
       return false;
     return true;
   }
-  bool operator!=(const TableMark& rhs) const { return !(*this == rhs); }
+  bool operator != (const TableMark &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const TableMark&) const;
+  bool operator < (const TableMark & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2868,44 +2986,50 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(TableMark& a, TableMark& b);
+void swap(TableMark &a, TableMark &b);
 
 std::ostream& operator<<(std::ostream& out, const TableMark& obj);
 
 typedef struct _FeedQuery__isset {
   _FeedQuery__isset() : wait_ms(false), tables(false) {}
-  bool wait_ms : 1;
-  bool tables : 1;
+  bool wait_ms :1;
+  bool tables :1;
 } _FeedQuery__isset;
 
 class FeedQuery : public virtual ::apache::thrift::TBase {
  public:
+
   FeedQuery(const FeedQuery&);
   FeedQuery(FeedQuery&&) noexcept;
   FeedQuery& operator=(const FeedQuery&);
   FeedQuery& operator=(FeedQuery&&) noexcept;
-  FeedQuery() noexcept : wait_ms(0) {}
+  FeedQuery() noexcept
+            : wait_ms(0) {
+  }
 
   virtual ~FeedQuery() noexcept;
   int64_t wait_ms;
-  std::vector<TableMark> tables;
+  std::vector<TableMark>  tables;
 
   _FeedQuery__isset __isset;
 
   void __set_wait_ms(const int64_t val);
 
-  void __set_tables(const std::vector<TableMark>& val);
+  void __set_tables(const std::vector<TableMark> & val);
 
-  bool operator==(const FeedQuery& rhs) const {
+  bool operator == (const FeedQuery & rhs) const
+  {
     if (!(wait_ms == rhs.wait_ms))
       return false;
     if (!(tables == rhs.tables))
       return false;
     return true;
   }
-  bool operator!=(const FeedQuery& rhs) const { return !(*this == rhs); }
+  bool operator != (const FeedQuery &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const FeedQuery&) const;
+  bool operator < (const FeedQuery & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2913,51 +3037,45 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(FeedQuery& a, FeedQuery& b);
+void swap(FeedQuery &a, FeedQuery &b);
 
 std::ostream& operator<<(std::ostream& out, const FeedQuery& obj);
 
 typedef struct _ClaimRecord__isset {
-  _ClaimRecord__isset()
-      : attempt_token(false),
-        agent(false),
-        body_digest(false),
-        state(false),
-        status(false),
-        content_type(false),
-        body(false),
-        at_ms(false) {}
-  bool attempt_token : 1;
-  bool agent : 1;
-  bool body_digest : 1;
-  bool state : 1;
-  bool status : 1;
-  bool content_type : 1;
-  bool body : 1;
-  bool at_ms : 1;
+  _ClaimRecord__isset() : attempt_token(false), agent(false), body_digest(false), state(false), status(false), content_type(false), body(false), at_ms(false) {}
+  bool attempt_token :1;
+  bool agent :1;
+  bool body_digest :1;
+  bool state :1;
+  bool status :1;
+  bool content_type :1;
+  bool body :1;
+  bool at_ms :1;
 } _ClaimRecord__isset;
 
 class ClaimRecord : public virtual ::apache::thrift::TBase {
  public:
+
   ClaimRecord(const ClaimRecord&);
   ClaimRecord(ClaimRecord&&) noexcept;
   ClaimRecord& operator=(const ClaimRecord&);
   ClaimRecord& operator=(ClaimRecord&&) noexcept;
   ClaimRecord() noexcept
-      : agent(),
-        body_digest(),
-        state(static_cast<ClaimState::type>(0)),
-        status(0),
-        content_type(),
-        body(),
-        at_ms(0) {}
+              : agent(),
+                body_digest(),
+                state(static_cast<ClaimState::type>(0)),
+                status(0),
+                content_type(),
+                body(),
+                at_ms(0) {
+  }
 
   virtual ~ClaimRecord() noexcept;
   Id attempt_token;
   std::string agent;
   std::string body_digest;
   /**
-   *
+   * 
    * @see ClaimState
    */
   ClaimState::type state;
@@ -2984,7 +3102,8 @@
 
   void __set_at_ms(const int64_t val);
 
-  bool operator==(const ClaimRecord& rhs) const {
+  bool operator == (const ClaimRecord & rhs) const
+  {
     if (!(attempt_token == rhs.attempt_token))
       return false;
     if (!(agent == rhs.agent))
@@ -3003,9 +3122,11 @@
       return false;
     return true;
   }
-  bool operator!=(const ClaimRecord& rhs) const { return !(*this == rhs); }
+  bool operator != (const ClaimRecord &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const ClaimRecord&) const;
+  bool operator < (const ClaimRecord & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -3013,11 +3134,10 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ClaimRecord& a, ClaimRecord& b);
+void swap(ClaimRecord &a, ClaimRecord &b);
 
 std::ostream& operator<<(std::ostream& out, const ClaimRecord& obj);
 
-}  // namespace wire
-}  // namespace peridotgate
+}} // namespace
 
 #endif
