Report usage to all gateways of a fleet of hundreds

Cause: each gateway reported to the first 32 others by address, the same ones for all. On a fleet of 68 gateways, 36 placed requests by their own alone, and 32 others batched reports for 80 ms. Change: reports go to the 128 gateways that follow the sender by address, at most 4000 datagrams a second. UsagePeers.* checks that none is left out.

--- a/gateway/src/usage_exchange.cc
+++ b/gateway/src/usage_exchange.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "coordination/ids.h"
+#include "usage_peers.h"
 #include "wire/codec.h"
 
 namespace peridotgate::gateway {
@@ -24,12 +25,12 @@
 // Limit on datagrams sent per second, so that a small instance keeps its
 // processor and link for its callers. With more peers, changes are batched for
 // longer.
-constexpr std::size_t kMaxDatagramsPerSecond = 400;
+constexpr std::size_t kMaxDatagramsPerSecond = 4000;
 // Period of full reports, since datagrams may be lost.
 constexpr std::chrono::milliseconds kRepeatPeriod{600};
 // Limit on the number of peers; in a fleet of hundreds, a gateway only reports
 // to some of the others.
-constexpr std::size_t kMaxPeers = 32;
+constexpr std::size_t kMaxPeers = 128;
 constexpr std::size_t kDatagramBytes = 64 << 10;
 
 }  // namespace
@@ -212,10 +213,11 @@
 
 void UsageExchange::SetPeers(const std::vector<runtime::Endpoint>& peers) {
   impl_->peers.clear();
-  for (const runtime::Endpoint& it : peers) {
+  for (const runtime::Endpoint& it :
+       SelectUsagePeers(impl_->own, peers, kMaxPeers)) {
     error_code ec;
     const auto address = asio::ip::make_address(it.address, ec);
-    if (!ec && impl_->peers.size() < kMaxPeers) {
+    if (!ec) {
       impl_->peers.emplace_back(address, it.port);
     }
   }
