--- a/gateway/include/gateway/rules.h
+++ b/gateway/include/gateway/rules.h
@@ -40,12 +40,17 @@
   int priority = 5;  // 0 is the most urgent.
   Millis timeout{0};
   Millis objective{0};
+  // Callers leave after this time without an event; 0: they wait for the end.
+  Millis caller_patience{0};
 };
 
 /** Capacity of a service's model engines. */
 struct Engine {
   int slots = 0;
   std::int64_t kv_tokens = 0;
+  // Copying the cache of one token from engine to engine; the default is that
+  // of a 130 Gbit/s link and tokens of 18 KB.
+  double transfer_ms_per_token = 0.0012;
 };
 
 /** A group of backend servers that do the same work. */
--- a/gateway/src/load_balancer.cc
+++ b/gateway/src/load_balancer.cc
@@ -28,12 +28,9 @@
 // Cost of cross-data-centre requests: a round trip, and traffic that is paid
 // for.
 constexpr double kCrossDataCentreCostMs = 3;
-// Cost of fetching a cached token from the cache store, whose link carries
-// about 33 Gbit/s for tokens of 18 KB.
-constexpr double kStoreFetchMsPerToken = 0.005;
-// Cost of fetching a cached token from another server, whose link carries about
-// 130 Gbit/s for tokens of 18 KB. Doubled across data centres.
-constexpr double kPeerFetchMsPerToken = 0.0012;
+// How much longer a fetch from the cache store takes than one from an engine:
+// its link is slower and shared by all.
+constexpr double kStoreFetchFactor = 4;
 // A server that used a part within this time is assumed to still have it
 // cached, even when running requests need much of its memory.
 constexpr seconds kGuaranteedHeld{3};
@@ -106,6 +103,7 @@
   std::map<std::string, std::int64_t> versions;
   std::optional<TimePoint> switching_since;
   PartLru parts;
+  double transfer_ms_per_token = Engine{}.transfer_ms_per_token;
   // When fetches from this server that this gateway requested are expected to
   // end.
   TimePoint link_busy_until{};
@@ -197,6 +195,10 @@
   bool may_lack_shared = false;     // The shared parts may not be cached there.
 };
 
+double StoreFetchMs(const Server& to, double tokens) {
+  return kStoreFetchFactor * to.transfer_ms_per_token * tokens;
+}
+
 double ToMs(coordination::Duration time) {
   return std::chrono::duration<double, std::milli>(time).count();
 }
@@ -348,9 +350,9 @@
       score.missing_tokens = prompt.tokens - prompt.shared_tokens;
       const auto shared = static_cast<double>(prompt.shared_tokens);
       if (!known && &it == prompt.preferred) {
-        cost += kStoreFetchMsPerToken * shared;
+        cost += StoreFetchMs(it, shared);
       } else if (!known) {
-        cost += kNonPreferredCostMs + kStoreFetchMsPerToken * shared;
+        cost += kNonPreferredCostMs + StoreFetchMs(it, shared);
       }
     }
     const double waiting =
@@ -402,7 +404,7 @@
           it->info.data_centre == target.info.data_centre ? 1 : 2;
       const double wait =
           ToMs(std::max(coordination::Duration{}, it->link_busy_until - now));
-      const double cost = wait + zones * kPeerFetchMsPerToken *
+      const double cost = wait + zones * it->transfer_ms_per_token *
                                      static_cast<double>(prompt.shared_tokens);
       if (holder == nullptr || cost < least) {
         holder = it;
@@ -500,6 +502,7 @@
       if (service != nullptr && service->engine) {
         server.parts = PartLru(static_cast<std::size_t>(
             kCachedFraction * static_cast<double>(service->engine->kv_tokens)));
+        server.transfer_ms_per_token = service->engine->transfer_ms_per_token;
       }
     }
     server.Update(info);
@@ -606,7 +609,7 @@
     until = std::max(until, now) +
             std::chrono::duration_cast<coordination::Duration>(
                 std::chrono::duration<double, std::milli>(
-                    kPeerFetchMsPerToken *
+                    holder->second.transfer_ms_per_token *
                     static_cast<double>(placement.fetch_tokens)));
   }
   if (placement.save_to) {
--- a/gateway/src/traffic_parts.h
+++ b/gateway/src/traffic_parts.h
@@ -14,6 +14,7 @@
 #include "connection_pool.h"
 #include "coordination/clock.h"
 #include "coordination/retry_budget.h"
+#include "gateway/admission.h"
 #include "gateway/load_balancer.h"
 #include "gateway/protocol.h"
 #include "gateway/settings.h"
@@ -34,6 +35,7 @@
   ConnectionPool pool;
   coordination::RetryBudget retries;
   LoadBalancer balancer;
+  Admission admission = {};
   FleetView view = {};
   std::unordered_map<std::string, double> late_share = {};  // By service.
   std::set<CallerStream*> idle = {};  // Connections waiting for a request.
