End requests whose server sends bytes without end

Cause: while data keeps arriving, a read completes before the stream's timer is served, and two loops renewed their deadline: the rest of a server's refusal, and the body of an answer to another request. Interim answers were not counted, and the buffer that holds a head, a chunk's size line or the trailers had no bound. A stalled stream's silence limit was renewed by comments. Change: each read checks the deadline itself; refusals, unrelated bodies, interim answers and the buffer are bounded; only whole events renew the limit of a stream.

--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -18,6 +18,9 @@
 // Connections within the region open in a few milliseconds; a server that takes
 // longer than this is down or unreachable.
 constexpr Millis kConnectTimeout{300};
+// A server's refusal is read for at most this time and size.
+constexpr Millis kRefusalTimeout{300};
+constexpr std::size_t kMaxRefusalBytes = 64 << 10;
 // Requests with less time left are not sent.
 constexpr Millis kMinTimeLeft{10};
 // Limit on the size of a buffered response.
@@ -348,11 +351,7 @@
         parts_.balancer.OnIncarnationMismatch(placement.server_id);
       }
     }
-    // Reads the rest of the refusal so that the connection can be reused.
-    auto rest = co_await connection_->ReadPiece(Now() + kConnectTimeout);
-    while (rest && !rest.value().last) {
-      rest = co_await connection_->ReadPiece(Now() + kConnectTimeout);
-    }
+    co_await DiscardRefusal();
     co_return Step::kNotRun;
   }
   ++runs_;
@@ -370,6 +369,24 @@
   co_return co_await Relay(placement, std::move(head), outcome);
 }
 
+// Reads the rest of a server's refusal so that the connection can be reused,
+// unless that takes longer or is more than a refusal is worth.
+asio::awaitable<void> Exchange::DiscardRefusal() {
+  const TimePoint limit = std::min(deadline_, Now() + kRefusalTimeout);
+  std::size_t size = 0;
+  while (true) {
+    const auto piece = co_await connection_->ReadPiece(limit);
+    size += piece ? piece.value().bytes.size() : 0;
+    if (!piece || size > kMaxRefusalBytes) {
+      connection_->Cancel();
+      co_return;
+    }
+    if (piece.value().last) {
+      co_return;
+    }
+  }
+}
+
 // Buffers a plain response until it is complete, so that a truncated one can be
 // retried and never looks complete to the caller.
 asio::awaitable<Exchange::Step> Exchange::Relay(const Placement& placement,
@@ -452,8 +469,10 @@
     const ResponseHead& head,
     AttemptOutcome& outcome) {
   EventSplitter events;
+  // Only whole events count as progress: a stalled server may go on sending
+  // comments or single bytes.
+  TimePoint limit = SilenceLimit();
   while (true) {
-    const TimePoint limit = SilenceLimit();
     auto piece = co_await connection_->ReadPiece(limit);
     if (!piece) {
       last_error_ = Name(piece.error());
@@ -473,6 +492,7 @@
       whole += events.rest();
     }
     if (!whole.empty()) {
+      limit = SilenceLimit();
       MarkPromptRead(placement);
       const bool sent = co_await ForwardBytes(head, whole);
       if (!sent) {
--- a/gateway/src/exchange.h
+++ b/gateway/src/exchange.h
@@ -57,6 +57,7 @@
   asio::awaitable<Step> Answer(const Placement& placement,
                                ResponseHead head,
                                AttemptOutcome& outcome);
+  asio::awaitable<void> DiscardRefusal();
   asio::awaitable<Step> Relay(const Placement& placement,
                               ResponseHead head,
                               AttemptOutcome& outcome);
--- a/gateway/src/server_connection.cc
+++ b/gateway/src/server_connection.cc
@@ -35,6 +35,13 @@
 // Maximum number of responses to earlier requests that may precede the awaited
 // one.
 constexpr int kMaxUnrelatedResponses = 4;
+// Interim responses (1xx) that may precede a response.
+constexpr int kMaxInterimResponses = 8;
+// Body bytes of unrelated responses that are read to reuse the connection.
+constexpr std::size_t kMaxDiscardedBytes = 1 << 20;
+// Bytes that are buffered until they can be parsed: a head, or the size line of
+// a chunk with its extensions, or the trailers.
+constexpr std::size_t kMaxBufferedBytes = 64 << 10;
 // Idle time limit if the server announces none.
 constexpr Millis kDefaultIdleLimit{2000};
 // A server may close this much before the time that it announced.
@@ -86,7 +93,7 @@
   beast::tcp_stream stream;
   const coordination::Clock& clock;
   const ServerProtocol& protocol;
-  beast::flat_buffer buf;
+  beast::flat_buffer buf{kMaxBufferedBytes};
   std::optional<Parser> parser;
   std::string outgoing;
   std::array<char, kReadBytes> piece;
@@ -123,9 +130,18 @@
     stream.socket().close(ignored);
   }
 
-  // Reads the body of an unrelated response to its end.
-  asio::awaitable<bool> Discard() {
+  // While data keeps arriving, reads complete before the stream's timer is
+  // served, so the deadline is checked for each read as well.
+  bool Expired(TimePoint deadline) const { return clock.Now() >= deadline; }
+
+  // Reads the body of an unrelated response to its end; false if there is none
+  // within the limits.
+  asio::awaitable<bool> Discard(TimePoint deadline) {
+    std::size_t discarded = 0;
     while (!parser->is_done()) {
+      if (discarded > kMaxDiscardedBytes || Expired(deadline)) {
+        co_return false;
+      }
       parser->get().body().data = piece.data();
       parser->get().body().size = piece.size();
       auto [ec, n] =
@@ -133,6 +149,7 @@
       if (ec && ec != http::error::need_buffer) {
         co_return false;
       }
+      discarded += n;
     }
     co_return parser->get().keep_alive();
   }
@@ -204,7 +221,9 @@
   auto self = impl_;
   self->Expire(deadline);
   int unrelated = 0;
-  while (unrelated <= kMaxUnrelatedResponses) {
+  int interim = 0;
+  while (unrelated <= kMaxUnrelatedResponses &&
+         interim <= kMaxInterimResponses) {
     self->parser.emplace();
     self->parser->header_limit(kMaxHeadBytes);
     self->parser->body_limit(boost::none);
@@ -216,13 +235,14 @@
     }
     const ResponseHead& head = self->parser->get().base();
     if (head.result_int() < 200) {
+      ++interim;
       continue;
     }
     if (self->protocol.Read(head).request_id == request_id) {
       co_return ResponseHead(head);
     }
     ++unrelated;
-    const bool kept = co_await self->Discard();
+    const bool kept = co_await self->Discard(deadline);
     if (!kept) {
       co_return self->cancelled ? ServerError::kCancelled
                                 : ServerError::kBroken;
@@ -237,6 +257,9 @@
   BodyPiece piece;
   self->Expire(deadline);
   while (piece.bytes.empty() && !self->parser->is_done()) {
+    if (self->Expired(deadline)) {
+      co_return ServerError::kTimeout;
+    }
     auto& body = self->parser->get().body();
     body.data = self->piece.data();
     body.size = self->piece.size();
