Refuse at once what would start after its caller has left

Change: before a request is sent, Admission compares the corrected prediction with the time that the caller still waits (for a stream, until the caller takes it for broken). A request that may have run is never refused. Predictions are corrected by the first bytes that come.

--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -151,6 +152,11 @@
       co_return;
     }
     predicted_ms_ = placement->cost_ms;
+    if (const auto after = RetryAfterIfHopeless(*placement)) {
+      const Refusal refusal{503, "overloaded", *after};
+      co_await Refuse(refusal);
+      co_return;
+    }
     const Step last = co_await TryServer(*placement);
     if (last == Step::kDone) {
       co_return;
@@ -163,6 +169,26 @@
   }
 }
 
+// When the caller should come back if the request would only start after the
+// caller has left; nothing if it should be sent. A request that may have run is
+// not refused.
+std::optional<Millis> Exchange::RetryAfterIfHopeless(
+    const Placement& placement) const {
+  if (runs_ > 0 || response_started_) {
+    return std::nullopt;
+  }
+  TimePoint leaves = deadline_;
+  if (route_->caller_patience.count() > 0) {
+    leaves = std::min(leaves, began_ + route_->caller_patience);
+  }
+  AdmissionRequest request;
+  request.service = service_;
+  request.cost_ms = placement.cost_ms;
+  request.caller_waits = std::chrono::duration_cast<Millis>(leaves - Now());
+  request.id_hash = std::hash<std::string_view>()(request_.request_id);
+  return parts_.admission.RetryAfter(request);
+}
+
 // Whether the route and its number of attempts allow the request to run again.
 bool Exchange::MayRunAgain() const {
   return route_->idempotent && runs_ < std::max(1, route_->attempts);
@@ -313,7 +339,7 @@
     }
   }
   connection_.reset();
-  MarkPromptRead(placement);
+  MarkPromptRead(placement, false);
   parts_.balancer.OnEnd(placement, outcome, Now());
   parts_.on_usage_changed();
   if (step != Step::kDone) {
@@ -402,7 +428,7 @@
       outcome = piece ? AttemptOutcome::kFailed : OutcomeOf(piece.error());
       co_return Step::kMayHaveRun;
     }
-    MarkPromptRead(placement);
+    MarkPromptRead(placement, true);
     body += piece.value().bytes;
     if (piece.value().last) {
       break;
@@ -454,9 +480,15 @@
 }
 
 // Records, once per attempt, that the server has processed the prompt.
-void Exchange::MarkPromptRead(const Placement& placement) {
+void Exchange::MarkPromptRead(const Placement& placement,
+                              bool first_byte_came) {
   if (prompt_pending_) {
     prompt_pending_ = false;
+    if (first_byte_came) {
+      parts_.admission.OnFirstByte(
+          service_, placement.cost_ms,
+          std::chrono::duration_cast<Millis>(Now() - sent_at_));
+    }
     parts_.balancer.OnFirstByte(placement);
     parts_.on_usage_changed();
   }
@@ -493,7 +525,7 @@
     }
     if (!whole.empty()) {
       limit = SilenceLimit();
-      MarkPromptRead(placement);
+      MarkPromptRead(placement, true);
       const bool sent = co_await ForwardBytes(head, whole);
       if (!sent) {
         connection_->Cancel();
--- a/gateway/src/exchange.h
+++ b/gateway/src/exchange.h
@@ -68,12 +68,13 @@
   asio::awaitable<bool> ForwardBytes(const ResponseHead& head,
                                      std::string_view bytes);
   bool MayRunAgain() const;
+  std::optional<Millis> RetryAfterIfHopeless(const Placement& placement) const;
   bool MayTryAgain(Step step) const;
   TimePoint SilenceLimit() const;
   AttemptOutcome OutcomeOf(ServerError error) const;
   asio::awaitable<void> GiveUp();
   asio::awaitable<void> Refuse(Refusal refusal);
-  void MarkPromptRead(const Placement& placement);
+  void MarkPromptRead(const Placement& placement, bool first_byte_came);
   void Finish(std::string_view outcome, unsigned status);
   TimePoint Now() const { return parts_.clock.Now(); }
 
