Name a source of shared parts that an engine may have evicted

Change: unless a part was used at the server within half a second, a source is named: another server that used it lately, else the store if it has reported it.

--- a/gateway/src/load_balancer.cc
+++ b/gateway/src/load_balancer.cc
@@ -34,6 +34,8 @@
 // A server that used a part within this time is assumed to still have it
 // cached, even when running requests need much of its memory.
 constexpr seconds kGuaranteedHeld{3};
+// A server that used a part within this time holds it even under heavy load.
+constexpr milliseconds kSurelyHeld{500};
 // Prompts with fewer shared tokens are placed by load alone.
 constexpr std::int64_t kMinSharedTokens = 1024;
 // A part saved within this time is assumed to be in the cache store, which
@@ -442,17 +444,21 @@
         !stored.contains(placement.saved_prefix_key)) {
       placement.save_to = *store;
     }
-    // Links are shared, so only parts that the server may lack are fetched from
-    // elsewhere.
-    if (score.may_lack_shared) {
+    // An engine transfers only what it lacks, so a source is named unless the
+    // parts were used there a moment ago. Under load they may be evicted much
+    // sooner than `parts` predicts, and would be computed again.
+    const bool used_lately =
+        now - it.parts.LastUse(HashOf(prompt.anchor)) <= kSurelyHeld;
+    if (score.may_lack_shared || !used_lately) {
       const Server* holder = FindHolder(it, request, prompt, now);
+      const bool stored_there = stored.contains(placement.saved_prefix_key);
       if (holder != nullptr) {
         placement.fetch_from = holder->info.address;
         placement.fetch_server_id = holder->info.id;
-      } else if (store != nullptr) {
+      } else if (store != nullptr && (score.may_lack_shared || stored_there)) {
         placement.fetch_from = *store;
       }
-      placement.fetch_tokens = prompt.shared_tokens;
+      placement.fetch_tokens = score.may_lack_shared ? prompt.shared_tokens : 0;
     }
     return placement;
   }
--- a/gateway/tests/correctness/load_balancer_test.cc
+++ b/gateway/tests/correctness/load_balancer_test.cc
@@ -141,6 +141,47 @@
   }
 }
 
+// On the heaviest days, running requests take the memory that cached parts
+// need, and engines evict parts that were used a second ago. An engine that
+// still has them transfers nothing.
+TEST_F(LoadBalancerTest, NamesASourceOfPartsThatMayHaveBeenEvicted) {
+  const PlacementRequest request = LongRequest("sheet");
+  const auto first = balancer_.Place(request, now_);
+  balancer_.OnDispatch(*first, request, now_);
+  now_ += seconds(1);
+  {
+    SCOPED_TRACE("not from a store that has not reported the parts");
+    const auto second = balancer_.Place(request, now_);
+    ASSERT_EQ(second->server_id, first->server_id);
+    EXPECT_FALSE(second->fetch_from);
+  }
+  {
+    SCOPED_TRACE("from the store that has them");
+    balancer_.OnCacheStore({kStore, true, false, {{true, "v1/", "sheet"}}});
+    EXPECT_EQ(balancer_.Place(request, now_)->fetch_from, kStore);
+  }
+  {
+    SCOPED_TRACE("preferably from another server that used them lately");
+    const std::string other =
+        first->server_id == "engine-0" ? "engine-1" : "engine-0";
+    avoided_ = {first->server_id};
+    for (int i = 0; i < kServers; ++i) {
+      const std::string id = "engine-" + std::to_string(i);
+      if (id != first->server_id && id != other) {
+        avoided_.push_back(id);
+      }
+    }
+    const PlacementRequest elsewhere = LongRequest("sheet");
+    balancer_.OnDispatch(*balancer_.Place(elsewhere, now_), elsewhere, now_);
+    avoided_.clear();
+    now_ += seconds(1);
+    const auto third = balancer_.Place(LongRequest("sheet"), now_);
+    const std::string& holder =
+        third->server_id == other ? first->server_id : other;
+    EXPECT_EQ(third->fetch_from, servers_[holder].address);
+  }
+}
+
 TEST_F(LoadBalancerTest, FetchesFromTheCacheStoreOnlyPartsThatMayBeMissing) {
   const PlacementRequest request = LongRequest("sheet");
   const auto first = balancer_.Place(request, now_);
--- a/gateway/tests/correctness/usage_peers_test.cc
+++ b/gateway/tests/correctness/usage_peers_test.cc
@@ -18,9 +18,9 @@
     SCOPED_TRACE(gateways);
     std::vector<runtime::Endpoint> all;
     for (int i = 0; i < gateways; ++i) {
-      all.push_back({"10." + std::to_string(i % 5) + ".0." +
-                         std::to_string(10 + i / 5),
-                     80});
+      all.push_back(
+          {"10." + std::to_string(i % 5) + ".0." + std::to_string(10 + i / 5),
+           80});
     }
     std::map<std::string, std::size_t> reports;
     for (const auto& own : all) {
