Count requests beyond an engine's memory as waiting

Engines ran more requests than their memory holds; these pushed out cached parts and preempted each other, so each prompt was read whole and engines stayed full. The load balancer saw slots, not memory. LoadBalancerTest.FillsNoEngineBeyondItsMemoryWhileOthersHaveRoom failed on the code before (71 requests at an engine that holds 34).

--- a/gateway/src/load_balancer.cc
+++ b/gateway/src/load_balancer.cc
@@ -71,6 +71,12 @@
 constexpr milliseconds kMaxEjection{8000};
 // Assumed processing time of a plain request, in milliseconds.
 constexpr double kPlainWorkMs = 30;
+// Fraction of an engine's memory that running requests may take before new ones
+// are assumed to wait for one to end. Beyond it, requests push out the cached
+// parts that the next ones need, and each other.
+constexpr double kRunningFraction = 0.6;
+// Weight of a new prompt in the mean size of a server's prompts.
+constexpr double kSizeWeight = 0.02;
 // Fraction of an engine's memory assumed to hold the most recently sent
 // prompts; the rest goes to outputs and partly filled blocks.
 constexpr double kCachedFraction = 0.8;
@@ -106,6 +112,22 @@
   std::optional<TimePoint> switching_since;
   PartLru parts;
   double transfer_ms_per_token = Engine{}.transfer_ms_per_token;
+  double memory_tokens = 0;  // 0: unknown.
+  // Mean size of the parts that requests do not share.
+  double own_tokens = 0;
+
+  void RecordPrompt(double tokens) {
+    own_tokens += (own_tokens == 0 ? 1 : kSizeWeight) * (tokens - own_tokens);
+  }
+
+  // Number of requests for which there is no memory, with one more.
+  double RequestsOverMemory(TimePoint now) const {
+    if (memory_tokens == 0 || own_tokens == 0) {
+      return 0;
+    }
+    const double fitting = kRunningFraction * memory_tokens / own_tokens;
+    return std::max(0.0, RequestCount(now) + 1 - fitting);
+  }
   // When fetches from this server that this gateway requested are expected to
   // end.
   TimePoint link_busy_until{};
@@ -362,7 +384,8 @@
     cost += it.Slowness(now) *
             (static_cast<double>(score.missing_tokens + it.UnreadTokens(now)) /
                  kPrefillTokensPerMs +
-             waiting * kWaitingCostMs + it.RequestCount(now) * kRunningCostMs);
+             std::max(waiting, it.RequestsOverMemory(now)) * kWaitingCostMs +
+             it.RequestCount(now) * kRunningCostMs);
     score.cost_ms = cost;
     return score;
   }
@@ -509,6 +532,7 @@
         server.parts = PartLru(static_cast<std::size_t>(
             kCachedFraction * static_cast<double>(service->engine->kv_tokens)));
         server.transfer_ms_per_token = service->engine->transfer_ms_per_token;
+        server.memory_tokens = static_cast<double>(service->engine->kv_tokens);
       }
     }
     server.Update(info);
@@ -606,6 +630,9 @@
     sent.parts.push_back(id);
     sent.tokens.push_back(static_cast<std::int32_t>(part.tokens));
   }
+  if (!sent.tokens.empty()) {
+    it.RecordPrompt(sent.tokens.back());
+  }
   if (!sent.parts.empty() && impl_->unannounced.size() < kMaxUnannounced) {
     impl_->unannounced.push_back(std::move(sent));
   }
@@ -721,6 +748,9 @@
     if (found == impl_->servers.end()) {
       continue;
     }
+    if (!it.tokens.empty()) {
+      found->second.RecordPrompt(it.tokens.back());
+    }
     for (std::size_t i = 0; i < it.parts.size() && i < it.tokens.size(); ++i) {
       found->second.parts.Touch(it.parts[i], it.tokens[i], now);
     }
--- a/gateway/tests/correctness/load_balancer_test.cc
+++ b/gateway/tests/correctness/load_balancer_test.cc
@@ -141,6 +141,40 @@
   }
 }
 
+// Plays a burst for one hot sheet. Engines that are given more than their
+// memory holds push out cached parts and preempt requests, and all callers wait
+// longer.
+TEST_F(LoadBalancerTest, FillsNoEngineBeyondItsMemoryWhileOthersHaveRoom) {
+  constexpr double kOwnTokens = 2900;  // Of each prompt; the rest is shared.
+  constexpr double kMemoryTokens = 100'000;
+  const int fitting = static_cast<int>(kMemoryTokens / kOwnTokens);
+  std::map<std::string, int> running;
+  const int requests = fitting * kServers / 2;  // Half of what all can hold.
+  for (int i = 0; i < requests; ++i) {
+    const PlacementRequest request = LongRequest("hot");
+    const auto placement = balancer_.Place(request, now_);
+    ASSERT_TRUE(placement);
+    balancer_.OnDispatch(*placement, request, now_);
+    balancer_.OnFirstByte(*placement);  // Its prompt is read, and it runs on.
+    ++running[placement->server_id];
+    now_ += milliseconds(1);
+  }
+  for (const auto& [id, n] : running) {
+    EXPECT_LE(n, fitting) << id;
+  }
+  {
+    SCOPED_TRACE("a request that only finds full engines is predicted to wait");
+    const double cost = balancer_.Place(LongRequest("hot"), now_)->cost_ms;
+    for (int i = 0; i < requests; ++i) {
+      const PlacementRequest request = LongRequest("hot");
+      const auto placement = balancer_.Place(request, now_);
+      balancer_.OnDispatch(*placement, request, now_);
+      balancer_.OnFirstByte(*placement);
+    }
+    EXPECT_GT(balancer_.Place(LongRequest("hot"), now_)->cost_ms, 2 * cost);
+  }
+}
+
 // On the heaviest days, running requests take the memory that cached parts
 // need, and engines evict parts that were used a second ago. An engine that
 // still has them transfers nothing.
