Let a silent gateway of the follower test drop the query that it holds

Cause: Gateways.LearnWhatOneOfThemReads expected the second gateway to read the store once the first falls silent, but the stand-in still answered a query that it held at that moment, as a process that fell silent would not. The rows then came without a call to the store, in half of the runs on a busy machine. Change: a node that fell silent drops the answer.

--- a/gateway/tests/error/follower_test.cc
+++ b/gateway/tests/error/follower_test.cc
@@ -143,6 +143,9 @@
     for (const auto& it : nodes_) {
       if (it->settings.peers == peer && !it->silent) {
         wire::FeedCopy copy = co_await it->follower->Answer(std::move(query));
+        if (it->silent) {
+          co_return std::nullopt;  // It fell silent while it held the query.
+        }
         co_return copy;
       }
     }
