--- a/gateway/tests/correctness/usage_peers_test.cc
+++ b/gateway/tests/correctness/usage_peers_test.cc
@@ -17,6 +17,7 @@
   for (const int gateways : {2, 10, 33, 68, 430}) {
     SCOPED_TRACE(gateways);
     std::vector<runtime::Endpoint> all;
+    all.reserve(static_cast<std::size_t>(gateways));
     for (int i = 0; i < gateways; ++i) {
       all.push_back(
           {"10." + std::to_string(i % 5) + ".0." + std::to_string(10 + i / 5),
