Log why the peer that provides rows is given up

Cause: the logs of a gateway that got a configuration late show that it changed the peer that it follows (rows_source), but not whether that peer hung, had old rows or had stopped reading the store. Change: the event reader_lost names the peer, the reason and the age of the gateway's own rows.

--- a/gateway/src/follower.cc
+++ b/gateway/src/follower.cc
@@ -183,6 +183,16 @@
     }
   }
 
+  void LogReaderLost(const std::optional<PeerRows>& rows) const {
+    const auto age = plan.Age(clock.Now());
+    LogEvent("reader_lost", LogClass::kNotable)
+        .Add("peer", source)
+        .Add("why", !rows              ? "no_answer"
+                    : rows->from_store ? "stale"
+                                       : "reads_no_store")
+        .Add("own_age_ms", age ? std::chrono::ceil<Millis>(*age).count() : -1);
+  }
+
   void OnError(Table& table, StoreError error) {
     metrics
         .GetCounter("peridotgate_gateway_store_errors_total",
@@ -246,6 +256,8 @@
         .Add();
     if (fresh) {
       LogSource(runtime::ToString(peer));
+    } else if (source == runtime::ToString(peer)) {
+      LogReaderLost(rows);
     }
     if (copy) {
       ApplyCopy(*copy);
