Read the store when rows grow old, whatever the peers do

Cause: a follower asks the gateways before it in turn. One that hangs takes 0.7 s, and a probe of one that was given up takes 0.3 s more, so three or four in a row are later than the deadline. The class is a delay that adds up over the failures of others. Ruled out: busy gateways (view_changed follows rows_source within 1 ms). Change: rows older than 1.4 s are read from the store itself. That is more than the age at which followers renew their rows and leaves 0.6 s of the shortest deadline of 2 s.

--- a/gateway/include/gateway/feed_plan.h
+++ b/gateway/include/gateway/feed_plan.h
@@ -51,12 +51,14 @@
 /**
  * In each data centre, the first gateway in the order of `TakesDutyBefore`
  * reads the store and the others ask it. A gateway that gets no fresh rows from
- * a peer that reads the store asks the next one, and reads the store itself
- * when no gateway is left before it. It probes the peers that it skips, and
- * returns to one when that reads the store again. A gateway without fresh rows
- * of its own probes all peers in turn until it finds one that reads the store.
- * Rows that a peer got from another gateway are used, but such a peer is not
- * followed, since gateways that follow each other would grow old together.
+ * a peer that reads the store asks the next one. It reads the store itself when
+ * no gateway is left before it, and whenever its rows are older than `kMaxAge`:
+ * peers that hang one after the other would add up their timeouts. It probes
+ * the peers that it skips, and returns to one when that reads the store again.
+ * A gateway without fresh rows of its own probes all peers in turn until it
+ * finds one that reads the store. Rows that a peer got from another gateway are
+ * used, but such a peer is not followed, since gateways that follow each other
+ * would grow old together.
  *
  *     if (plan.ReadsStore(now)) { ... plan.OnStoreResult(feed, true, now); }
  *     if (auto query = plan.PeerToAsk(now)) {
@@ -70,6 +72,12 @@
   static constexpr coordination::Duration kFresh =
       std::chrono::milliseconds(1200);
 
+  /** Rows older than this are read from the store, whatever the peers do. More
+   * than the age at which a follower's rows are renewed, and less than the
+   * shortest deadline of a change, which is 2 s. */
+  static constexpr coordination::Duration kMaxAge =
+      std::chrono::milliseconds(1400);
+
   explicit FeedPlan(PeerGateway own);
 
   /** Replaces the list of live peers. */
--- a/gateway/src/feed_plan.cc
+++ b/gateway/src/feed_plan.cc
@@ -52,8 +52,9 @@
   return std::nullopt;
 }
 
-bool FeedPlan::ReadsStore(TimePoint /*now*/) const {
-  return !PrecedingReader();
+bool FeedPlan::ReadsStore(TimePoint now) const {
+  const auto age = Age(now);
+  return (age && *age > kMaxAge) || !PrecedingReader();
 }
 
 // Whether the store does not provide fresh rows, so that any peer may help.
