End a stream inside an event as broken off

Callers saw: a stream whose server's connection ended inside an event, without chunks or length, reached them as complete, with the piece of the event at its end; a resumable one was not resumed. Cause: bytes after the last whole event were forwarded whenever the body ended properly, and without length or chunks the end of the connection is that. Change: a body that ends inside an event counts as broken, so the request is resumed elsewhere where the route allows it and ends without its last chunk where not. Empty lines and comments are no event. The scripted server can now reset a connection or stop listening after its answer.

--- a/gateway/src/event_splitter.cc
+++ b/gateway/src/event_splitter.cc
@@ -65,4 +65,16 @@
   return WholeEvent{bytes, FindId(bytes)};
 }
 
+bool EventSplitter::inside_event() const {
+  std::string_view left = rest();
+  while (!left.empty()) {
+    const std::size_t end = left.find_first_of("\r\n");
+    if (end != 0 && left.front() != ':') {
+      return true;
+    }
+    left.remove_prefix(end == std::string_view::npos ? left.size() : end + 1);
+  }
+  return false;
+}
+
 }  // namespace peridotgate::gateway
--- a/gateway/src/event_splitter.h
+++ b/gateway/src/event_splitter.h
@@ -39,6 +39,10 @@
     return std::string_view(buf_).substr(offset_);
   }
 
+  /** Whether `rest` is the beginning of an event, rather than empty lines or a
+   * comment. */
+  bool inside_event() const;
+
   bool overflowed() const { return rest().size() > kMaxEventBytes; }
 
  private:
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -494,8 +494,8 @@
   }
 }
 
-// Forwards complete events as they arrive. Bytes after the last complete event
-// are forwarded only if the stream ends properly.
+// Forwards complete events as they arrive. A stream that ends inside an event
+// was broken off, however its connection ended.
 asio::awaitable<Exchange::Step> Exchange::RelayEvents(
     const Placement& placement,
     const ResponseHead& head,
@@ -520,7 +520,8 @@
         resume_after_ = event->id;
       }
     }
-    if (piece.value().last) {
+    const bool cut = piece.value().last && events.inside_event();
+    if (piece.value().last && !cut) {
       whole += events.rest();
     }
     if (!whole.empty()) {
@@ -534,6 +535,12 @@
         co_return Step::kDone;
       }
     }
+    if (cut) {
+      last_error_ = Name(ServerError::kBroken);
+      outcome = OutcomeOf(ServerError::kBroken);
+      connection_->Cancel();
+      co_return Step::kMayHaveRun;
+    }
     if (piece.value().last) {
       break;
     }
--- a/testing/standins/scripted_server.cc
+++ b/testing/standins/scripted_server.cc
@@ -53,6 +53,15 @@
   return requests_;
 }
 
+void ScriptedServer::Crash() {
+  stopping_ = true;
+  ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+  const std::lock_guard lock(mutex_);
+  for (const int it : sockets_) {
+    ::shutdown(it, SHUT_RDWR);
+  }
+}
+
 void ScriptedServer::Accept() {
   while (!stopping_) {
     boost::system::error_code ec;
@@ -92,7 +101,13 @@
       continue;
     }
     asio::write(socket, asio::buffer(answer.bytes), ec);
-    if (answer.close) {
+    if (answer.reset) {
+      socket.set_option(asio::socket_base::linger(true, 0), ec);
+    }
+    if (answer.crash) {
+      Crash();
+    }
+    if (answer.close || answer.reset || answer.crash) {
       break;
     }
   }
--- a/testing/standins/scripted_server.h
+++ b/testing/standins/scripted_server.h
@@ -21,6 +21,8 @@
   std::string bytes;    // Sent unchanged.
   bool close = false;   // Closes the connection afterwards.
   bool silent = false;  // Sends nothing, stays connected.
+  bool reset = false;   // Resets the connection afterwards.
+  bool crash = false;   // Ends the server: it refuses connections from now on.
 };
 
 /**
@@ -45,10 +47,12 @@
   std::vector<std::string> requests() const;
   /** How many connections have ended. */
   int closed() const { return closed_connections_.load(); }
+  bool crashed() const { return stopping_.load(); }
 
  private:
   void Accept();
   void Serve(boost::asio::ip::tcp::socket socket);
+  void Crash();
 
   Script script_;
   boost::asio::io_context context_;
