--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <utility>
 
+#include <fmt/format.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -123,6 +124,7 @@
     cache_scope_ = organisation_->name;
   }
   resume_after_ = request_.resume_after;
+  part_keys_ = SharedPartKeys(service_, request_.model, request_.prompt);
   return true;
 }
 
@@ -143,6 +145,11 @@
       Finish("caller_gone", 0);
       co_return;
     }
+    const auto verdict = parts_.crashes.Check(part_keys_);
+    if (verdict.state == coordination::PartState::kQuarantined) {
+      co_await RefusePart(verdict);
+      co_return;
+    }
     const TimePoint now = Now();
     auto placement = deadline_ - now < kMinTimeLeft
                          ? std::nullopt
@@ -189,6 +196,19 @@
   return parts_.admission.RetryAfter(request);
 }
 
+// Ends a request with a part on which servers crash.
+asio::awaitable<void> Exchange::RefusePart(
+    const coordination::PartVerdict& verdict) {
+  last_error_ = fmt::format("quarantined_part {:016x}", verdict.part);
+  if (runs_ > 0 || response_started_) {
+    co_await GiveUp();
+    co_return;
+  }
+  const Refusal refusal{503, "quarantined_part",
+                        std::chrono::ceil<Millis>(verdict.left)};
+  co_await Refuse(refusal);
+}
+
 // Whether the route and its number of attempts allow the request to run again.
 bool Exchange::MayRunAgain() const {
   return route_->idempotent && runs_ < std::max(1, route_->attempts);
@@ -242,6 +262,18 @@
   return AttemptOutcome::kFailed;
 }
 
+// The server's answer ended too soon, or never came.
+void Exchange::OnLost(const Placement& placement,
+                      ServerError error,
+                      AttemptOutcome& outcome) {
+  last_error_ = Name(error);
+  outcome = OutcomeOf(error);
+  connection_->Cancel();
+  if (error == ServerError::kBroken) {
+    parts_.crashes.OnBroken(placement, part_keys_);
+  }
+}
+
 asio::awaitable<std::shared_ptr<ServerConnection>> Exchange::Connect(
     const Placement& placement) {
   const auto freshness =
@@ -330,9 +362,7 @@
     } else {
       ++runs_;
       step = Step::kMayHaveRun;
-      last_error_ = Name(head.error());
-      outcome = OutcomeOf(head.error());
-      connection_->Cancel();
+      OnLost(placement, head.error(), outcome);
     }
     if (connection_) {
       parts_.pool.Put(placement.server_id, std::move(connection_));
@@ -360,6 +390,7 @@
                                                  AttemptOutcome& outcome) {
   const ServerHead server_head = parts_.servers.Read(head);
   parts_.balancer.OnResponseHead(placement, server_head, Now());
+  parts_.crashes.OnContact(placement.server_id);
   const unsigned status = head.result_int();
   if (server_head.not_executed || status == 421) {
     outcome = AttemptOutcome::kRefused;
@@ -423,9 +454,13 @@
     const TimePoint limit = SilenceLimit();
     auto piece = co_await connection_->ReadPiece(limit);
     if (!piece || body.size() + piece.value().bytes.size() > kMaxHeldBytes) {
-      last_error_ = piece ? "answer_too_large" : Name(piece.error());
-      connection_->Cancel();
-      outcome = piece ? AttemptOutcome::kFailed : OutcomeOf(piece.error());
+      if (piece) {
+        last_error_ = "answer_too_large";
+        outcome = AttemptOutcome::kFailed;
+        connection_->Cancel();
+      } else {
+        OnLost(placement, piece.error(), outcome);
+      }
       co_return Step::kMayHaveRun;
     }
     MarkPromptRead(placement, true);
@@ -458,6 +493,9 @@
     co_await Refuse(refusal);
     co_return Step::kDone;
   }
+  if (status < 300) {
+    parts_.crashes.OnSound(part_keys_);
+  }
   keep_alive_ = keep_alive_ && parts_.keep_alive;
   first_byte_ = first_byte_ == TimePoint{} ? Now() : first_byte_;
   const bool sent =
@@ -507,9 +545,7 @@
   while (true) {
     auto piece = co_await connection_->ReadPiece(limit);
     if (!piece) {
-      last_error_ = Name(piece.error());
-      outcome = OutcomeOf(piece.error());
-      connection_->Cancel();
+      OnLost(placement, piece.error(), outcome);
       co_return Step::kMayHaveRun;
     }
     events.Feed(piece.value().bytes);
@@ -536,9 +572,7 @@
       }
     }
     if (cut) {
-      last_error_ = Name(ServerError::kBroken);
-      outcome = OutcomeOf(ServerError::kBroken);
-      connection_->Cancel();
+      OnLost(placement, ServerError::kBroken, outcome);
       co_return Step::kMayHaveRun;
     }
     if (piece.value().last) {
@@ -558,6 +592,7 @@
       co_return Step::kDone;
     }
   }
+  parts_.crashes.OnSound(part_keys_);
   const bool ended = co_await caller_.EndChunks();
   Finish(ended ? "served" : "caller_gone", head.result_int());
   co_return Step::kDone;
--- a/gateway/src/exchange.h
+++ b/gateway/src/exchange.h
@@ -72,8 +72,12 @@
   bool MayTryAgain(Step step) const;
   TimePoint SilenceLimit() const;
   AttemptOutcome OutcomeOf(ServerError error) const;
+  void OnLost(const Placement& placement,
+              ServerError error,
+              AttemptOutcome& outcome);
   asio::awaitable<void> GiveUp();
   asio::awaitable<void> Refuse(Refusal refusal);
+  asio::awaitable<void> RefusePart(const coordination::PartVerdict& verdict);
   void MarkPromptRead(const Placement& placement, bool first_byte_came);
   void Finish(std::string_view outcome, unsigned status);
   TimePoint Now() const { return parts_.clock.Now(); }
@@ -89,6 +93,7 @@
   const Organisation* organisation_ = nullptr;
   std::string service_;
   std::string cache_scope_;
+  std::vector<coordination::PartKey> part_keys_;  // Of the shared parts.
   TimePoint deadline_;
   bool head_request_ = false;
   bool keep_alive_;  // Keeps the caller's connection after the response.
--- a/gateway/src/traffic.cc
+++ b/gateway/src/traffic.cc
@@ -46,10 +46,16 @@
               coordination::RetryBudget(RetryLimits(settings, std::nullopt)),
               LoadBalancer(
                   std::max(Millis(0),
-                           settings.weights_deadline - kWeightsMargin))},
+                           settings.weights_deadline - kWeightsMargin)),
+              CrashWatch(duty.context(), clock, metrics)},
         acceptor(duty.context()),
-        uses(duty.context(), clock, parts.balancer, settings.peers) {
+        uses(duty.context(),
+             clock,
+             parts.balancer,
+             parts.crashes,
+             settings.peers) {
     parts.on_usage_changed = [this] { uses.OnChange(); };
+    parts.crashes.SetOnNews(parts.on_usage_changed);
   }
 
   TrafficParts parts;
--- a/gateway/src/traffic_parts.h
+++ b/gateway/src/traffic_parts.h
@@ -14,6 +14,7 @@
 #include "connection_pool.h"
 #include "coordination/clock.h"
 #include "coordination/retry_budget.h"
+#include "crash_watch.h"
 #include "gateway/admission.h"
 #include "gateway/load_balancer.h"
 #include "gateway/protocol.h"
@@ -35,6 +36,7 @@
   ConnectionPool pool;
   coordination::RetryBudget retries;
   LoadBalancer balancer;
+  CrashWatch crashes;
   Admission admission = {};
   FleetView view = {};
   std::unordered_map<std::string, double> late_share = {};  // By service.
--- a/gateway/src/usage_exchange.cc
+++ b/gateway/src/usage_exchange.cc
@@ -12,6 +12,7 @@
 #include "coordination/ids.h"
 #include "usage_peers.h"
 #include "wire/codec.h"
+#include "wire/crash_facts.h"
 
 namespace peridotgate::gateway {
 namespace {
@@ -39,9 +40,11 @@
   Impl(asio::io_context& context,
        const coordination::Clock& clock,
        LoadBalancer& balancer,
+       CrashWatch& crashes,
        runtime::Endpoint own)
       : clock(clock),
         balancer(balancer),
+        crashes(crashes),
         own(std::move(own)),
         socket(context),
         timer(context),
@@ -50,6 +53,7 @@
 
   const coordination::Clock& clock;
   LoadBalancer& balancer;
+  CrashWatch& crashes;
   runtime::Endpoint own;
   udp::socket socket;
   asio::steady_timer timer;
@@ -133,16 +137,43 @@
       notice.prompts.push_back(std::move(prompt));
     }
     full_report_at = notice.whole ? now : full_report_at;
+    const coordination::CrashFacts facts = TakeFacts(notice.whole);
+    notice.crash_facts = wire::ToWire(facts, now);
     const std::string bytes = wire::EncodeStruct(notice);
     for (const udp::endpoint& it : peers) {
       error_code ignored;  // Full reports repeat lost usage.
       socket.send_to(asio::buffer(bytes), it, 0, ignored);
     }
-    if (!was_idle || !reported.empty()) {
+    if (!was_idle || !reported.empty() || !facts.empty()) {
       Schedule(kRepeatPeriod);
     }
   }
 
+  // What is new, with all that still matters if `whole`: datagrams get lost.
+  coordination::CrashFacts TakeFacts(bool whole) {
+    coordination::CrashFacts facts = crashes.TakeNews();
+    if (whole) {
+      coordination::CrashFacts current = crashes.Current();
+      facts.crashes = std::move(current.crashes);
+      facts.quarantines = std::move(current.quarantines);
+    }
+    return facts;
+  }
+
+  // Tells a gateway that has just started what it missed.
+  void SendFacts(const udp::endpoint& to) {
+    const coordination::CrashFacts facts = crashes.Current();
+    if (facts.empty()) {
+      return;
+    }
+    wire::UseNotice notice;
+    notice.incarnation = incarnation;
+    notice.sequence = ++sequence;
+    notice.crash_facts = wire::ToWire(facts, clock.Now());
+    error_code ignored;  // Full reports repeat it.
+    socket.send_to(asio::buffer(wire::EncodeStruct(notice)), to, 0, ignored);
+  }
+
   void Receive() {
     socket.async_receive_from(
         asio::buffer(buf), sender,
@@ -169,7 +200,11 @@
         it.sequence <= previous.sequence) {
       return;  // A newer notice was already received.
     }
+    if (it.incarnation != previous.incarnation) {
+      SendFacts(sender);
+    }
     previous = {it.incarnation, it.sequence};
+    crashes.Merge(wire::FromWire(it.crash_facts, clock.Now()));
     std::vector<ServerUsage> uses;
     for (const wire::ServerUse& use : it.uses) {
       uses.push_back({use.id, use.in_flight, use.unread_tokens});
@@ -188,8 +223,13 @@
 UsageExchange::UsageExchange(asio::io_context& context,
                              const coordination::Clock& clock,
                              LoadBalancer& balancer,
+                             CrashWatch& crashes,
                              runtime::Endpoint own)
-    : impl_(std::make_shared<Impl>(context, clock, balancer, std::move(own))) {}
+    : impl_(std::make_shared<Impl>(context,
+                                   clock,
+                                   balancer,
+                                   crashes,
+                                   std::move(own))) {}
 
 UsageExchange::~UsageExchange() = default;
 
@@ -221,6 +261,8 @@
       impl_->peers.emplace_back(address, it.port);
     }
   }
+  // Peers that see a new gateway tell it what it missed.
+  impl_->OnChange();
 }
 
 void UsageExchange::OnChange() {
--- a/gateway/src/usage_exchange.h
+++ b/gateway/src/usage_exchange.h
@@ -1,6 +1,7 @@
 // Exchanges with other gateways how many requests each has at the backend
-// servers. Without it, gateways that prefer the same server for a prefix would
-// not see each other's load there.
+// servers, and what each knows of servers that crashed. Without it, gateways
+// that prefer the same server for a prefix would not see each other's load
+// there, and each would have to lose servers to the same requests.
 #ifndef GATEWAY_USAGE_EXCHANGE_H_
 #define GATEWAY_USAGE_EXCHANGE_H_
 
@@ -11,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "coordination/clock.h"
+#include "crash_watch.h"
 #include "gateway/load_balancer.h"
 #include "runtime/settings_reader.h"
 
@@ -22,14 +24,15 @@
   UsageExchange(boost::asio::io_context& context,
                 const coordination::Clock& clock,
                 LoadBalancer& balancer,
+                CrashWatch& crashes,
                 runtime::Endpoint own);
   ~UsageExchange();
 
   /** Binds the socket; returns false and sets `error` on failure. */
   bool Listen(std::string& error);
   void SetPeers(const std::vector<runtime::Endpoint>& peers);
-  /** This gateway's usage changed; it is broadcast within a few milliseconds.
-   * */
+  /** This gateway's usage or facts changed; they are broadcast within a few
+   * milliseconds. */
   void OnChange();
 
  private:
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -6961,6 +6961,732 @@
 }
 
 
+CrashFact::~CrashFact() noexcept {
+}
+
+
+void CrashFact::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void CrashFact::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void CrashFact::__set_suspects(const std::vector<int64_t> & val) {
+  this->suspects = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashFact& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashFact::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size215;
+            ::apache::thrift::protocol::TType _etype218;
+            xfer += iprot->readListBegin(_etype218, _size215);
+            this->suspects.resize(_size215);
+            uint32_t _i219;
+            for (_i219 = 0; _i219 < _size215; ++_i219)
+            {
+              xfer += iprot->readI64(this->suspects[_i219]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashFact::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashFact");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
+    std::vector<int64_t> ::const_iterator _iter220;
+    for (_iter220 = this->suspects.begin(); _iter220 != this->suspects.end(); ++_iter220)
+    {
+      xfer += oprot->writeI64((*_iter220));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashFact &a, CrashFact &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.age_ms, b.age_ms);
+  swap(a.suspects, b.suspects);
+  swap(a.__isset, b.__isset);
+}
+
+CrashFact::CrashFact(const CrashFact& other221) {
+  server = other221.server;
+  age_ms = other221.age_ms;
+  suspects = other221.suspects;
+  __isset = other221.__isset;
+}
+CrashFact::CrashFact(CrashFact&& other222) noexcept {
+  server = other222.server;
+  age_ms = other222.age_ms;
+  suspects = std::move(other222.suspects);
+  __isset = other222.__isset;
+}
+CrashFact& CrashFact::operator=(const CrashFact& other223) {
+  server = other223.server;
+  age_ms = other223.age_ms;
+  suspects = other223.suspects;
+  __isset = other223.__isset;
+  return *this;
+}
+CrashFact& CrashFact::operator=(CrashFact&& other224) noexcept {
+  server = other224.server;
+  age_ms = other224.age_ms;
+  suspects = std::move(other224.suspects);
+  __isset = other224.__isset;
+  return *this;
+}
+void CrashFact::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashFact(";
+  out << "server=" << to_string(server);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "suspects=" << to_string(suspects);
+  out << ")";
+}
+
+
+SoundFact::~SoundFact() noexcept {
+}
+
+
+void SoundFact::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void SoundFact::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const SoundFact& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SoundFact::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SoundFact::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SoundFact");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SoundFact &a, SoundFact &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+SoundFact::SoundFact(const SoundFact& other225) noexcept {
+  part = other225.part;
+  age_ms = other225.age_ms;
+  __isset = other225.__isset;
+}
+SoundFact::SoundFact(SoundFact&& other226) noexcept {
+  part = other226.part;
+  age_ms = other226.age_ms;
+  __isset = other226.__isset;
+}
+SoundFact& SoundFact::operator=(const SoundFact& other227) noexcept {
+  part = other227.part;
+  age_ms = other227.age_ms;
+  __isset = other227.__isset;
+  return *this;
+}
+SoundFact& SoundFact::operator=(SoundFact&& other228) noexcept {
+  part = other228.part;
+  age_ms = other228.age_ms;
+  __isset = other228.__isset;
+  return *this;
+}
+void SoundFact::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SoundFact(";
+  out << "part=" << to_string(part);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+QuarantineFact::~QuarantineFact() noexcept {
+}
+
+
+void QuarantineFact::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void QuarantineFact::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void QuarantineFact::__set_left_ms(const int64_t val) {
+  this->left_ms = val;
+}
+
+void QuarantineFact::__set_held_ms(const int64_t val) {
+  this->held_ms = val;
+}
+
+void QuarantineFact::__set_crashes(const int32_t val) {
+  this->crashes = val;
+}
+
+void QuarantineFact::__set_servers(const int32_t val) {
+  this->servers = val;
+}
+
+void QuarantineFact::__set_level(const int32_t val) {
+  this->level = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuarantineFact& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuarantineFact::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->left_ms);
+          this->__isset.left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held_ms);
+          this->__isset.held_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->crashes);
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->servers);
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->level);
+          this->__isset.level = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuarantineFact::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuarantineFact");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->held_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->crashes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->servers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("level", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->level);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuarantineFact &a, QuarantineFact &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.age_ms, b.age_ms);
+  swap(a.left_ms, b.left_ms);
+  swap(a.held_ms, b.held_ms);
+  swap(a.crashes, b.crashes);
+  swap(a.servers, b.servers);
+  swap(a.level, b.level);
+  swap(a.__isset, b.__isset);
+}
+
+QuarantineFact::QuarantineFact(const QuarantineFact& other229) noexcept {
+  part = other229.part;
+  age_ms = other229.age_ms;
+  left_ms = other229.left_ms;
+  held_ms = other229.held_ms;
+  crashes = other229.crashes;
+  servers = other229.servers;
+  level = other229.level;
+  __isset = other229.__isset;
+}
+QuarantineFact::QuarantineFact(QuarantineFact&& other230) noexcept {
+  part = other230.part;
+  age_ms = other230.age_ms;
+  left_ms = other230.left_ms;
+  held_ms = other230.held_ms;
+  crashes = other230.crashes;
+  servers = other230.servers;
+  level = other230.level;
+  __isset = other230.__isset;
+}
+QuarantineFact& QuarantineFact::operator=(const QuarantineFact& other231) noexcept {
+  part = other231.part;
+  age_ms = other231.age_ms;
+  left_ms = other231.left_ms;
+  held_ms = other231.held_ms;
+  crashes = other231.crashes;
+  servers = other231.servers;
+  level = other231.level;
+  __isset = other231.__isset;
+  return *this;
+}
+QuarantineFact& QuarantineFact::operator=(QuarantineFact&& other232) noexcept {
+  part = other232.part;
+  age_ms = other232.age_ms;
+  left_ms = other232.left_ms;
+  held_ms = other232.held_ms;
+  crashes = other232.crashes;
+  servers = other232.servers;
+  level = other232.level;
+  __isset = other232.__isset;
+  return *this;
+}
+void QuarantineFact::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuarantineFact(";
+  out << "part=" << to_string(part);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "left_ms=" << to_string(left_ms);
+  out << ", " << "held_ms=" << to_string(held_ms);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "servers=" << to_string(servers);
+  out << ", " << "level=" << to_string(level);
+  out << ")";
+}
+
+
+CrashFacts::~CrashFacts() noexcept {
+}
+
+
+void CrashFacts::__set_crashes(const std::vector<CrashFact> & val) {
+  this->crashes = val;
+}
+
+void CrashFacts::__set_sound(const std::vector<SoundFact> & val) {
+  this->sound = val;
+}
+
+void CrashFacts::__set_quarantines(const std::vector<QuarantineFact> & val) {
+  this->quarantines = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashFacts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashFacts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size233;
+            ::apache::thrift::protocol::TType _etype236;
+            xfer += iprot->readListBegin(_etype236, _size233);
+            this->crashes.resize(_size233);
+            uint32_t _i237;
+            for (_i237 = 0; _i237 < _size233; ++_i237)
+            {
+              xfer += this->crashes[_i237].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->sound.clear();
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->sound.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
+            {
+              xfer += this->sound[_i242].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.sound = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantines.clear();
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->quarantines.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
+            {
+              xfer += this->quarantines[_i247].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashFacts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashFacts");
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<CrashFact> ::const_iterator _iter248;
+    for (_iter248 = this->crashes.begin(); _iter248 != this->crashes.end(); ++_iter248)
+    {
+      xfer += (*_iter248).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sound", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sound.size()));
+    std::vector<SoundFact> ::const_iterator _iter249;
+    for (_iter249 = this->sound.begin(); _iter249 != this->sound.end(); ++_iter249)
+    {
+      xfer += (*_iter249).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
+    std::vector<QuarantineFact> ::const_iterator _iter250;
+    for (_iter250 = this->quarantines.begin(); _iter250 != this->quarantines.end(); ++_iter250)
+    {
+      xfer += (*_iter250).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashFacts &a, CrashFacts &b) {
+  using ::std::swap;
+  swap(a.crashes, b.crashes);
+  swap(a.sound, b.sound);
+  swap(a.quarantines, b.quarantines);
+  swap(a.__isset, b.__isset);
+}
+
+CrashFacts::CrashFacts(const CrashFacts& other251) {
+  crashes = other251.crashes;
+  sound = other251.sound;
+  quarantines = other251.quarantines;
+  __isset = other251.__isset;
+}
+CrashFacts::CrashFacts(CrashFacts&& other252) noexcept {
+  crashes = std::move(other252.crashes);
+  sound = std::move(other252.sound);
+  quarantines = std::move(other252.quarantines);
+  __isset = other252.__isset;
+}
+CrashFacts& CrashFacts::operator=(const CrashFacts& other253) {
+  crashes = other253.crashes;
+  sound = other253.sound;
+  quarantines = other253.quarantines;
+  __isset = other253.__isset;
+  return *this;
+}
+CrashFacts& CrashFacts::operator=(CrashFacts&& other254) noexcept {
+  crashes = std::move(other254.crashes);
+  sound = std::move(other254.sound);
+  quarantines = std::move(other254.quarantines);
+  __isset = other254.__isset;
+  return *this;
+}
+void CrashFacts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashFacts(";
+  out << "crashes=" << to_string(crashes);
+  out << ", " << "sound=" << to_string(sound);
+  out << ", " << "quarantines=" << to_string(quarantines);
+  out << ")";
+}
+
+
 UseNotice::~UseNotice() noexcept {
 }
 
@@ -6984,6 +7710,10 @@
 void UseNotice::__set_whole(const bool val) {
   this->whole = val;
 }
+
+void UseNotice::__set_crash_facts(const CrashFacts& val) {
+  this->crash_facts = val;
+}
 std::ostream& operator<<(std::ostream& out, const UseNotice& obj)
 {
   obj.printTo(out);
@@ -7032,14 +7762,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size215;
-            ::apache::thrift::protocol::TType _etype218;
-            xfer += iprot->readListBegin(_etype218, _size215);
-            this->uses.resize(_size215);
-            uint32_t _i219;
-            for (_i219 = 0; _i219 < _size215; ++_i219)
+            uint32_t _size255;
+            ::apache::thrift::protocol::TType _etype258;
+            xfer += iprot->readListBegin(_etype258, _size255);
+            this->uses.resize(_size255);
+            uint32_t _i259;
+            for (_i259 = 0; _i259 < _size255; ++_i259)
             {
-              xfer += this->uses[_i219].read(iprot);
+              xfer += this->uses[_i259].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7052,14 +7782,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prompts.clear();
-            uint32_t _size220;
-            ::apache::thrift::protocol::TType _etype223;
-            xfer += iprot->readListBegin(_etype223, _size220);
-            this->prompts.resize(_size220);
-            uint32_t _i224;
-            for (_i224 = 0; _i224 < _size220; ++_i224)
+            uint32_t _size260;
+            ::apache::thrift::protocol::TType _etype263;
+            xfer += iprot->readListBegin(_etype263, _size260);
+            this->prompts.resize(_size260);
+            uint32_t _i264;
+            for (_i264 = 0; _i264 < _size260; ++_i264)
             {
-              xfer += this->prompts[_i224].read(iprot);
+              xfer += this->prompts[_i264].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7076,6 +7806,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crash_facts.read(iprot);
+          this->__isset.crash_facts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7104,10 +7842,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<ServerUse> ::const_iterator _iter225;
-    for (_iter225 = this->uses.begin(); _iter225 != this->uses.end(); ++_iter225)
+    std::vector<ServerUse> ::const_iterator _iter265;
+    for (_iter265 = this->uses.begin(); _iter265 != this->uses.end(); ++_iter265)
     {
-      xfer += (*_iter225).write(oprot);
+      xfer += (*_iter265).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7116,10 +7854,10 @@
   xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
-    std::vector<SentPrompt> ::const_iterator _iter226;
-    for (_iter226 = this->prompts.begin(); _iter226 != this->prompts.end(); ++_iter226)
+    std::vector<SentPrompt> ::const_iterator _iter266;
+    for (_iter266 = this->prompts.begin(); _iter266 != this->prompts.end(); ++_iter266)
     {
-      xfer += (*_iter226).write(oprot);
+      xfer += (*_iter266).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7129,6 +7867,10 @@
   xfer += oprot->writeBool(this->whole);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("crash_facts", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->crash_facts.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7141,41 +7883,46 @@
   swap(a.uses, b.uses);
   swap(a.prompts, b.prompts);
   swap(a.whole, b.whole);
+  swap(a.crash_facts, b.crash_facts);
   swap(a.__isset, b.__isset);
 }
 
-UseNotice::UseNotice(const UseNotice& other227) {
-  incarnation = other227.incarnation;
-  sequence = other227.sequence;
-  uses = other227.uses;
-  prompts = other227.prompts;
-  whole = other227.whole;
-  __isset = other227.__isset;
+UseNotice::UseNotice(const UseNotice& other267) {
+  incarnation = other267.incarnation;
+  sequence = other267.sequence;
+  uses = other267.uses;
+  prompts = other267.prompts;
+  whole = other267.whole;
+  crash_facts = other267.crash_facts;
+  __isset = other267.__isset;
 }
-UseNotice::UseNotice(UseNotice&& other228) noexcept {
-  incarnation = other228.incarnation;
-  sequence = other228.sequence;
-  uses = std::move(other228.uses);
-  prompts = std::move(other228.prompts);
-  whole = other228.whole;
-  __isset = other228.__isset;
+UseNotice::UseNotice(UseNotice&& other268) noexcept {
+  incarnation = other268.incarnation;
+  sequence = other268.sequence;
+  uses = std::move(other268.uses);
+  prompts = std::move(other268.prompts);
+  whole = other268.whole;
+  crash_facts = std::move(other268.crash_facts);
+  __isset = other268.__isset;
 }
-UseNotice& UseNotice::operator=(const UseNotice& other229) {
-  incarnation = other229.incarnation;
-  sequence = other229.sequence;
-  uses = other229.uses;
-  prompts = other229.prompts;
-  whole = other229.whole;
-  __isset = other229.__isset;
+UseNotice& UseNotice::operator=(const UseNotice& other269) {
+  incarnation = other269.incarnation;
+  sequence = other269.sequence;
+  uses = other269.uses;
+  prompts = other269.prompts;
+  whole = other269.whole;
+  crash_facts = other269.crash_facts;
+  __isset = other269.__isset;
   return *this;
 }
-UseNotice& UseNotice::operator=(UseNotice&& other230) noexcept {
-  incarnation = other230.incarnation;
-  sequence = other230.sequence;
-  uses = std::move(other230.uses);
-  prompts = std::move(other230.prompts);
-  whole = other230.whole;
-  __isset = other230.__isset;
+UseNotice& UseNotice::operator=(UseNotice&& other270) noexcept {
+  incarnation = other270.incarnation;
+  sequence = other270.sequence;
+  uses = std::move(other270.uses);
+  prompts = std::move(other270.prompts);
+  whole = other270.whole;
+  crash_facts = std::move(other270.crash_facts);
+  __isset = other270.__isset;
   return *this;
 }
 void UseNotice::printTo(std::ostream& out) const {
@@ -7186,6 +7933,7 @@
   out << ", " << "uses=" << to_string(uses);
   out << ", " << "prompts=" << to_string(prompts);
   out << ", " << "whole=" << to_string(whole);
+  out << ", " << "crash_facts=" << to_string(crash_facts);
   out << ")";
 }
 
@@ -7316,34 +8064,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RowCopy::RowCopy(const RowCopy& other231) {
-  key = other231.key;
-  value = other231.value;
-  version = other231.version;
-  removed = other231.removed;
-  __isset = other231.__isset;
+RowCopy::RowCopy(const RowCopy& other271) {
+  key = other271.key;
+  value = other271.value;
+  version = other271.version;
+  removed = other271.removed;
+  __isset = other271.__isset;
 }
-RowCopy::RowCopy(RowCopy&& other232) noexcept {
-  key = std::move(other232.key);
-  value = std::move(other232.value);
-  version = other232.version;
-  removed = other232.removed;
-  __isset = other232.__isset;
+RowCopy::RowCopy(RowCopy&& other272) noexcept {
+  key = std::move(other272.key);
+  value = std::move(other272.value);
+  version = other272.version;
+  removed = other272.removed;
+  __isset = other272.__isset;
 }
-RowCopy& RowCopy::operator=(const RowCopy& other233) {
-  key = other233.key;
-  value = other233.value;
-  version = other233.version;
-  removed = other233.removed;
-  __isset = other233.__isset;
+RowCopy& RowCopy::operator=(const RowCopy& other273) {
+  key = other273.key;
+  value = other273.value;
+  version = other273.version;
+  removed = other273.removed;
+  __isset = other273.__isset;
   return *this;
 }
-RowCopy& RowCopy::operator=(RowCopy&& other234) noexcept {
-  key = std::move(other234.key);
-  value = std::move(other234.value);
-  version = other234.version;
-  removed = other234.removed;
-  __isset = other234.__isset;
+RowCopy& RowCopy::operator=(RowCopy&& other274) noexcept {
+  key = std::move(other274.key);
+  value = std::move(other274.value);
+  version = other274.version;
+  removed = other274.removed;
+  __isset = other274.__isset;
   return *this;
 }
 void RowCopy::printTo(std::ostream& out) const {
@@ -7432,14 +8180,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size235;
-            ::apache::thrift::protocol::TType _etype238;
-            xfer += iprot->readListBegin(_etype238, _size235);
-            this->rows.resize(_size235);
-            uint32_t _i239;
-            for (_i239 = 0; _i239 < _size235; ++_i239)
+            uint32_t _size275;
+            ::apache::thrift::protocol::TType _etype278;
+            xfer += iprot->readListBegin(_etype278, _size275);
+            this->rows.resize(_size275);
+            uint32_t _i279;
+            for (_i279 = 0; _i279 < _size275; ++_i279)
             {
-              xfer += this->rows[_i239].read(iprot);
+              xfer += this->rows[_i279].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7480,10 +8228,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<RowCopy> ::const_iterator _iter240;
-    for (_iter240 = this->rows.begin(); _iter240 != this->rows.end(); ++_iter240)
+    std::vector<RowCopy> ::const_iterator _iter280;
+    for (_iter280 = this->rows.begin(); _iter280 != this->rows.end(); ++_iter280)
     {
-      xfer += (*_iter240).write(oprot);
+      xfer += (*_iter280).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7503,34 +8251,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TableCopy::TableCopy(const TableCopy& other241) {
-  name = other241.name;
-  version = other241.version;
-  whole = other241.whole;
-  rows = other241.rows;
-  __isset = other241.__isset;
-}
-TableCopy::TableCopy(TableCopy&& other242) noexcept {
-  name = std::move(other242.name);
-  version = other242.version;
-  whole = other242.whole;
-  rows = std::move(other242.rows);
-  __isset = other242.__isset;
-}
-TableCopy& TableCopy::operator=(const TableCopy& other243) {
-  name = other243.name;
-  version = other243.version;
-  whole = other243.whole;
-  rows = other243.rows;
-  __isset = other243.__isset;
+TableCopy::TableCopy(const TableCopy& other281) {
+  name = other281.name;
+  version = other281.version;
+  whole = other281.whole;
+  rows = other281.rows;
+  __isset = other281.__isset;
+}
+TableCopy::TableCopy(TableCopy&& other282) noexcept {
+  name = std::move(other282.name);
+  version = other282.version;
+  whole = other282.whole;
+  rows = std::move(other282.rows);
+  __isset = other282.__isset;
+}
+TableCopy& TableCopy::operator=(const TableCopy& other283) {
+  name = other283.name;
+  version = other283.version;
+  whole = other283.whole;
+  rows = other283.rows;
+  __isset = other283.__isset;
   return *this;
 }
-TableCopy& TableCopy::operator=(TableCopy&& other244) noexcept {
-  name = std::move(other244.name);
-  version = other244.version;
-  whole = other244.whole;
-  rows = std::move(other244.rows);
-  __isset = other244.__isset;
+TableCopy& TableCopy::operator=(TableCopy&& other284) noexcept {
+  name = std::move(other284.name);
+  version = other284.version;
+  whole = other284.whole;
+  rows = std::move(other284.rows);
+  __isset = other284.__isset;
   return *this;
 }
 void TableCopy::printTo(std::ostream& out) const {
@@ -7599,14 +8347,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size245;
-            ::apache::thrift::protocol::TType _etype248;
-            xfer += iprot->readListBegin(_etype248, _size245);
-            this->tables.resize(_size245);
-            uint32_t _i249;
-            for (_i249 = 0; _i249 < _size245; ++_i249)
+            uint32_t _size285;
+            ::apache::thrift::protocol::TType _etype288;
+            xfer += iprot->readListBegin(_etype288, _size285);
+            this->tables.resize(_size285);
+            uint32_t _i289;
+            for (_i289 = 0; _i289 < _size285; ++_i289)
             {
-              xfer += this->tables[_i249].read(iprot);
+              xfer += this->tables[_i289].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7647,10 +8395,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
-    std::vector<TableCopy> ::const_iterator _iter250;
-    for (_iter250 = this->tables.begin(); _iter250 != this->tables.end(); ++_iter250)
+    std::vector<TableCopy> ::const_iterator _iter290;
+    for (_iter290 = this->tables.begin(); _iter290 != this->tables.end(); ++_iter290)
     {
-      xfer += (*_iter250).write(oprot);
+      xfer += (*_iter290).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7673,30 +8421,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedCopy::FeedCopy(const FeedCopy& other251) {
-  age_ms = other251.age_ms;
-  tables = other251.tables;
-  from_store = other251.from_store;
-  __isset = other251.__isset;
+FeedCopy::FeedCopy(const FeedCopy& other291) {
+  age_ms = other291.age_ms;
+  tables = other291.tables;
+  from_store = other291.from_store;
+  __isset = other291.__isset;
 }
-FeedCopy::FeedCopy(FeedCopy&& other252) noexcept {
-  age_ms = other252.age_ms;
-  tables = std::move(other252.tables);
-  from_store = other252.from_store;
-  __isset = other252.__isset;
+FeedCopy::FeedCopy(FeedCopy&& other292) noexcept {
+  age_ms = other292.age_ms;
+  tables = std::move(other292.tables);
+  from_store = other292.from_store;
+  __isset = other292.__isset;
 }
-FeedCopy& FeedCopy::operator=(const FeedCopy& other253) {
-  age_ms = other253.age_ms;
-  tables = other253.tables;
-  from_store = other253.from_store;
-  __isset = other253.__isset;
+FeedCopy& FeedCopy::operator=(const FeedCopy& other293) {
+  age_ms = other293.age_ms;
+  tables = other293.tables;
+  from_store = other293.from_store;
+  __isset = other293.__isset;
   return *this;
 }
-FeedCopy& FeedCopy::operator=(FeedCopy&& other254) noexcept {
-  age_ms = other254.age_ms;
-  tables = std::move(other254.tables);
-  from_store = other254.from_store;
-  __isset = other254.__isset;
+FeedCopy& FeedCopy::operator=(FeedCopy&& other294) noexcept {
+  age_ms = other294.age_ms;
+  tables = std::move(other294.tables);
+  from_store = other294.from_store;
+  __isset = other294.__isset;
   return *this;
 }
 void FeedCopy::printTo(std::ostream& out) const {
@@ -7801,26 +8549,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TableMark::TableMark(const TableMark& other255) {
-  name = other255.name;
-  version = other255.version;
-  __isset = other255.__isset;
+TableMark::TableMark(const TableMark& other295) {
+  name = other295.name;
+  version = other295.version;
+  __isset = other295.__isset;
 }
-TableMark::TableMark(TableMark&& other256) noexcept {
-  name = std::move(other256.name);
-  version = other256.version;
-  __isset = other256.__isset;
+TableMark::TableMark(TableMark&& other296) noexcept {
+  name = std::move(other296.name);
+  version = other296.version;
+  __isset = other296.__isset;
 }
-TableMark& TableMark::operator=(const TableMark& other257) {
-  name = other257.name;
-  version = other257.version;
-  __isset = other257.__isset;
+TableMark& TableMark::operator=(const TableMark& other297) {
+  name = other297.name;
+  version = other297.version;
+  __isset = other297.__isset;
   return *this;
 }
-TableMark& TableMark::operator=(TableMark&& other258) noexcept {
-  name = std::move(other258.name);
-  version = other258.version;
-  __isset = other258.__isset;
+TableMark& TableMark::operator=(TableMark&& other298) noexcept {
+  name = std::move(other298.name);
+  version = other298.version;
+  __isset = other298.__isset;
   return *this;
 }
 void TableMark::printTo(std::ostream& out) const {
@@ -7883,14 +8631,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size259;
-            ::apache::thrift::protocol::TType _etype262;
-            xfer += iprot->readListBegin(_etype262, _size259);
-            this->tables.resize(_size259);
-            uint32_t _i263;
-            for (_i263 = 0; _i263 < _size259; ++_i263)
+            uint32_t _size299;
+            ::apache::thrift::protocol::TType _etype302;
+            xfer += iprot->readListBegin(_etype302, _size299);
+            this->tables.resize(_size299);
+            uint32_t _i303;
+            for (_i303 = 0; _i303 < _size299; ++_i303)
             {
-              xfer += this->tables[_i263].read(iprot);
+              xfer += this->tables[_i303].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7923,10 +8671,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
-    std::vector<TableMark> ::const_iterator _iter264;
-    for (_iter264 = this->tables.begin(); _iter264 != this->tables.end(); ++_iter264)
+    std::vector<TableMark> ::const_iterator _iter304;
+    for (_iter304 = this->tables.begin(); _iter304 != this->tables.end(); ++_iter304)
     {
-      xfer += (*_iter264).write(oprot);
+      xfer += (*_iter304).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7944,26 +8692,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedQuery::FeedQuery(const FeedQuery& other265) {
-  wait_ms = other265.wait_ms;
-  tables = other265.tables;
-  __isset = other265.__isset;
+FeedQuery::FeedQuery(const FeedQuery& other305) {
+  wait_ms = other305.wait_ms;
+  tables = other305.tables;
+  __isset = other305.__isset;
 }
-FeedQuery::FeedQuery(FeedQuery&& other266) noexcept {
-  wait_ms = other266.wait_ms;
-  tables = std::move(other266.tables);
-  __isset = other266.__isset;
+FeedQuery::FeedQuery(FeedQuery&& other306) noexcept {
+  wait_ms = other306.wait_ms;
+  tables = std::move(other306.tables);
+  __isset = other306.__isset;
 }
-FeedQuery& FeedQuery::operator=(const FeedQuery& other267) {
-  wait_ms = other267.wait_ms;
-  tables = other267.tables;
-  __isset = other267.__isset;
+FeedQuery& FeedQuery::operator=(const FeedQuery& other307) {
+  wait_ms = other307.wait_ms;
+  tables = other307.tables;
+  __isset = other307.__isset;
   return *this;
 }
-FeedQuery& FeedQuery::operator=(FeedQuery&& other268) noexcept {
-  wait_ms = other268.wait_ms;
-  tables = std::move(other268.tables);
-  __isset = other268.__isset;
+FeedQuery& FeedQuery::operator=(FeedQuery&& other308) noexcept {
+  wait_ms = other308.wait_ms;
+  tables = std::move(other308.tables);
+  __isset = other308.__isset;
   return *this;
 }
 void FeedQuery::printTo(std::ostream& out) const {
@@ -8064,9 +8812,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast269;
-          xfer += iprot->readI32(ecast269);
-          this->state = static_cast<ClaimState::type>(ecast269);
+          int32_t ecast309;
+          xfer += iprot->readI32(ecast309);
+          this->state = static_cast<ClaimState::type>(ecast309);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8171,50 +8919,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRecord::ClaimRecord(const ClaimRecord& other270) {
-  attempt_token = other270.attempt_token;
-  agent = other270.agent;
-  body_digest = other270.body_digest;
-  state = other270.state;
-  status = other270.status;
-  content_type = other270.content_type;
-  body = other270.body;
-  at_ms = other270.at_ms;
-  __isset = other270.__isset;
-}
-ClaimRecord::ClaimRecord(ClaimRecord&& other271) noexcept {
-  attempt_token = std::move(other271.attempt_token);
-  agent = std::move(other271.agent);
-  body_digest = std::move(other271.body_digest);
-  state = other271.state;
-  status = other271.status;
-  content_type = std::move(other271.content_type);
-  body = std::move(other271.body);
-  at_ms = other271.at_ms;
-  __isset = other271.__isset;
-}
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other272) {
-  attempt_token = other272.attempt_token;
-  agent = other272.agent;
-  body_digest = other272.body_digest;
-  state = other272.state;
-  status = other272.status;
-  content_type = other272.content_type;
-  body = other272.body;
-  at_ms = other272.at_ms;
-  __isset = other272.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other310) {
+  attempt_token = other310.attempt_token;
+  agent = other310.agent;
+  body_digest = other310.body_digest;
+  state = other310.state;
+  status = other310.status;
+  content_type = other310.content_type;
+  body = other310.body;
+  at_ms = other310.at_ms;
+  __isset = other310.__isset;
+}
+ClaimRecord::ClaimRecord(ClaimRecord&& other311) noexcept {
+  attempt_token = std::move(other311.attempt_token);
+  agent = std::move(other311.agent);
+  body_digest = std::move(other311.body_digest);
+  state = other311.state;
+  status = other311.status;
+  content_type = std::move(other311.content_type);
+  body = std::move(other311.body);
+  at_ms = other311.at_ms;
+  __isset = other311.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other312) {
+  attempt_token = other312.attempt_token;
+  agent = other312.agent;
+  body_digest = other312.body_digest;
+  state = other312.state;
+  status = other312.status;
+  content_type = other312.content_type;
+  body = other312.body;
+  at_ms = other312.at_ms;
+  __isset = other312.__isset;
   return *this;
 }
-ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other273) noexcept {
-  attempt_token = std::move(other273.attempt_token);
-  agent = std::move(other273.agent);
-  body_digest = std::move(other273.body_digest);
-  state = other273.state;
-  status = other273.status;
-  content_type = std::move(other273.content_type);
-  body = std::move(other273.body);
-  at_ms = other273.at_ms;
-  __isset = other273.__isset;
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other313) noexcept {
+  attempt_token = std::move(other313.attempt_token);
+  agent = std::move(other313.agent);
+  body_digest = std::move(other313.body_digest);
+  state = other313.state;
+  status = other313.status;
+  content_type = std::move(other313.content_type);
+  body = std::move(other313.body);
+  at_ms = other313.at_ms;
+  __isset = other313.__isset;
   return *this;
 }
 void ClaimRecord::printTo(std::ostream& out) const {
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -198,6 +198,14 @@
 
 class SentPrompt;
 
+class CrashFact;
+
+class SoundFact;
+
+class QuarantineFact;
+
+class CrashFacts;
+
 class UseNotice;
 
 class RowCopy;
@@ -2678,13 +2686,267 @@
 
 std::ostream& operator<<(std::ostream& out, const SentPrompt& obj);
 
+typedef struct _CrashFact__isset {
+  _CrashFact__isset() : server(false), age_ms(false), suspects(false) {}
+  bool server :1;
+  bool age_ms :1;
+  bool suspects :1;
+} _CrashFact__isset;
+
+class CrashFact : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashFact(const CrashFact&);
+  CrashFact(CrashFact&&) noexcept;
+  CrashFact& operator=(const CrashFact&);
+  CrashFact& operator=(CrashFact&&) noexcept;
+  CrashFact() noexcept
+            : server(0),
+              age_ms(0) {
+  }
+
+  virtual ~CrashFact() noexcept;
+  int64_t server;
+  int64_t age_ms;
+  std::vector<int64_t>  suspects;
+
+  _CrashFact__isset __isset;
+
+  void __set_server(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  void __set_suspects(const std::vector<int64_t> & val);
+
+  bool operator == (const CrashFact & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(suspects == rhs.suspects))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashFact &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashFact & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashFact &a, CrashFact &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashFact& obj);
+
+typedef struct _SoundFact__isset {
+  _SoundFact__isset() : part(false), age_ms(false) {}
+  bool part :1;
+  bool age_ms :1;
+} _SoundFact__isset;
+
+class SoundFact : public virtual ::apache::thrift::TBase {
+ public:
+
+  SoundFact(const SoundFact&) noexcept;
+  SoundFact(SoundFact&&) noexcept;
+  SoundFact& operator=(const SoundFact&) noexcept;
+  SoundFact& operator=(SoundFact&&) noexcept;
+  SoundFact() noexcept
+            : part(0),
+              age_ms(0) {
+  }
+
+  virtual ~SoundFact() noexcept;
+  int64_t part;
+  int64_t age_ms;
+
+  _SoundFact__isset __isset;
+
+  void __set_part(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const SoundFact & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const SoundFact &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SoundFact & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SoundFact &a, SoundFact &b);
+
+std::ostream& operator<<(std::ostream& out, const SoundFact& obj);
+
+typedef struct _QuarantineFact__isset {
+  _QuarantineFact__isset() : part(false), age_ms(false), left_ms(false), held_ms(false), crashes(false), servers(false), level(false) {}
+  bool part :1;
+  bool age_ms :1;
+  bool left_ms :1;
+  bool held_ms :1;
+  bool crashes :1;
+  bool servers :1;
+  bool level :1;
+} _QuarantineFact__isset;
+
+class QuarantineFact : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuarantineFact(const QuarantineFact&) noexcept;
+  QuarantineFact(QuarantineFact&&) noexcept;
+  QuarantineFact& operator=(const QuarantineFact&) noexcept;
+  QuarantineFact& operator=(QuarantineFact&&) noexcept;
+  QuarantineFact() noexcept
+                 : part(0),
+                   age_ms(0),
+                   left_ms(0),
+                   held_ms(0),
+                   crashes(0),
+                   servers(0),
+                   level(0) {
+  }
+
+  virtual ~QuarantineFact() noexcept;
+  int64_t part;
+  int64_t age_ms;
+  int64_t left_ms;
+  int64_t held_ms;
+  int32_t crashes;
+  int32_t servers;
+  int32_t level;
+
+  _QuarantineFact__isset __isset;
+
+  void __set_part(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  void __set_left_ms(const int64_t val);
+
+  void __set_held_ms(const int64_t val);
+
+  void __set_crashes(const int32_t val);
+
+  void __set_servers(const int32_t val);
+
+  void __set_level(const int32_t val);
+
+  bool operator == (const QuarantineFact & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(left_ms == rhs.left_ms))
+      return false;
+    if (!(held_ms == rhs.held_ms))
+      return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    if (!(level == rhs.level))
+      return false;
+    return true;
+  }
+  bool operator != (const QuarantineFact &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuarantineFact & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuarantineFact &a, QuarantineFact &b);
+
+std::ostream& operator<<(std::ostream& out, const QuarantineFact& obj);
+
+typedef struct _CrashFacts__isset {
+  _CrashFacts__isset() : crashes(false), sound(false), quarantines(false) {}
+  bool crashes :1;
+  bool sound :1;
+  bool quarantines :1;
+} _CrashFacts__isset;
+
+class CrashFacts : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashFacts(const CrashFacts&);
+  CrashFacts(CrashFacts&&) noexcept;
+  CrashFacts& operator=(const CrashFacts&);
+  CrashFacts& operator=(CrashFacts&&) noexcept;
+  CrashFacts() noexcept {
+  }
+
+  virtual ~CrashFacts() noexcept;
+  std::vector<CrashFact>  crashes;
+  std::vector<SoundFact>  sound;
+  std::vector<QuarantineFact>  quarantines;
+
+  _CrashFacts__isset __isset;
+
+  void __set_crashes(const std::vector<CrashFact> & val);
+
+  void __set_sound(const std::vector<SoundFact> & val);
+
+  void __set_quarantines(const std::vector<QuarantineFact> & val);
+
+  bool operator == (const CrashFacts & rhs) const
+  {
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(sound == rhs.sound))
+      return false;
+    if (!(quarantines == rhs.quarantines))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashFacts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashFacts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashFacts &a, CrashFacts &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashFacts& obj);
+
 typedef struct _UseNotice__isset {
-  _UseNotice__isset() : incarnation(false), sequence(false), uses(false), prompts(false), whole(false) {}
+  _UseNotice__isset() : incarnation(false), sequence(false), uses(false), prompts(false), whole(false), crash_facts(false) {}
   bool incarnation :1;
   bool sequence :1;
   bool uses :1;
   bool prompts :1;
   bool whole :1;
+  bool crash_facts :1;
 } _UseNotice__isset;
 
 class UseNotice : public virtual ::apache::thrift::TBase {
@@ -2706,6 +2968,7 @@
   std::vector<ServerUse>  uses;
   std::vector<SentPrompt>  prompts;
   bool whole;
+  CrashFacts crash_facts;
 
   _UseNotice__isset __isset;
 
@@ -2719,6 +2982,8 @@
 
   void __set_whole(const bool val);
 
+  void __set_crash_facts(const CrashFacts& val);
+
   bool operator == (const UseNotice & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -2731,6 +2996,8 @@
       return false;
     if (!(whole == rhs.whole))
       return false;
+    if (!(crash_facts == rhs.crash_facts))
+      return false;
     return true;
   }
   bool operator != (const UseNotice &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -190,9 +190,21 @@
 struct ServerUse { 1: string id, 2: i32 in_flight, 3: i64 unread_tokens }
 // A prompt sent to a server, as hashes of its parts in order.
 struct SentPrompt { 1: string server, 2: list<i64> parts, 3: list<i32> tokens }
+// What an instance knows of servers that crashed on a part of a request. Parts
+// and servers are hashes; times are relative to the sending.
+struct CrashFact { 1: i64 server, 2: i64 age_ms, 3: list<i64> suspects }
+struct SoundFact { 1: i64 part, 2: i64 age_ms }
+struct QuarantineFact {
+  1: i64 part, 2: i64 age_ms, 3: i64 left_ms, 4: i64 held_ms, 5: i32 crashes,
+  6: i32 servers, 7: i32 level
+}
+struct CrashFacts {
+  1: list<CrashFact> crashes, 2: list<SoundFact> sound,
+  3: list<QuarantineFact> quarantines
+}
 struct UseNotice {
   1: i64 incarnation, 2: i64 sequence, 3: list<ServerUse> uses,
-  4: list<SentPrompt> prompts, 5: bool whole
+  4: list<SentPrompt> prompts, 5: bool whole, 6: CrashFacts crash_facts
 }
 // One gateway's copy of rows of the platform's store, for gateways that don't
 // read the store themselves. `age_ms`: time since the store confirmed the rows.
