Report no call as not run that was sent twice, the second time in vain

Callers saw: a repeatable call whose server ended while it ran could be reported as not run. Cause: the agent sends a repeatable call again on a new connection if a kept one breaks before an answer. If that connection could not be made, the failure of the second sending alone decided, and it had sent nothing. Change: after a second sending the call counts as handed over. Measured: LostCall.IsNotReportedAsNotRunAfterASecondSending failed without the condition and passes with it; found while looking for crashes of servers, which this hid.

--- a/agent/src/backend_driver.cc
+++ b/agent/src/backend_driver.cc
@@ -275,7 +275,9 @@
       repeatable ? runtime::Connection::kKept : runtime::Connection::kFresh);
   const auto state = co_await asio::this_coro::cancellation_state;
   const bool stopped = state.cancelled() != asio::cancellation_type::none;
-  if (repeatable && !stopped && IsBroken(result) && !sink.has_begun()) {
+  const bool sent_again =
+      repeatable && !stopped && IsBroken(result) && !sink.has_begun();
+  if (sent_again) {
     // The reused connection may have been closed by the server: retry once on a
     // new one.
     result = co_await client.Stream(MakeBackendRequest(call), sink,
@@ -285,7 +287,8 @@
     co_await sink.Finish();
     co_return;
   }
-  const bool handed_over = result.error() != HttpError::kNotSent;
+  // The first of two sendings may have reached the server.
+  const bool handed_over = sent_again || result.error() != HttpError::kNotSent;
   BackendEvent failure{
       id, BackendFailure{handed_over, std::string(Name(result.error()))}};
   co_await Report(std::move(failure));
