--- a/agent/include/agent/core.h
+++ b/agent/include/agent/core.h
@@ -14,6 +14,7 @@
 #include "agent/messages.h"
 #include "coordination/clock.h"
 #include "coordination/configuration_follower.h"
+#include "coordination/crash_attribution.h"
 #include "runtime/metrics.h"
 #include "wire/codec.h"
 
@@ -84,6 +85,13 @@
    */
   void FollowRules(const coordination::ConfigurationFollower& rules);
 
+  /**
+   * Records in `crashes` on which requests the server crashed or answered, and
+   * refuses those with a part that is quarantined there. `crashes` must outlive
+   * this object.
+   */
+  void FollowCrashes(coordination::CrashAttribution& crashes);
+
   /**
    * Ends a share-accounting period. Returns the server's recent service by
    * organisation. Call twice a second.
--- a/agent/include/agent/messages.h
+++ b/agent/include/agent/messages.h
@@ -59,10 +59,12 @@
   BackendUsage usage;
 };
 
-/** The call failed; if `handed_over`, the server may have run it. */
+/** The call failed; if `handed_over`, the server may have run it. If `crashed`,
+ * the server has ended meanwhile: it accepts no connection. */
 struct BackendFailure {
   bool handed_over = true;
   std::string detail;
+  bool crashed = false;
 };
 
 /** Backend to peers: progress of a call. */
--- a/agent/src/backend_driver.cc
+++ b/agent/src/backend_driver.cc
@@ -7,9 +7,11 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/json.hpp>
 
 #include "cache_events.h"
@@ -27,6 +29,8 @@
 constexpr std::chrono::milliseconds kChannelRetryPause{1};
 constexpr std::chrono::milliseconds kReconnectPause{200};
 constexpr std::chrono::milliseconds kIdleTimeout{60000};
+// A server that lives accepts a connection within this time.
+constexpr std::chrono::milliseconds kDownTimeout{300};
 constexpr std::string_view kDone = "[DONE]";
 constexpr std::string_view kEventStream = "text/event-stream";
 constexpr std::int32_t kFirstErrorStatus = 400;
@@ -76,6 +80,7 @@
        runtime::Port<BackendReport>& reports,
        runtime::Metrics& metrics)
       : duty(duty),
+        server(server),
         kind(kind),
         client(duty.context(), server),
         events_client(duty.context(), server),
@@ -85,6 +90,7 @@
             metrics.GetCounter("peridotgate_agent_cache_events_total")) {}
 
   runtime::Duty& duty;
+  runtime::Endpoint server;
   ServerKind kind;
   runtime::HttpClient client;
   runtime::HttpClient events_client;
@@ -106,6 +112,7 @@
 
   void StartCall(BackendCall call);
   asio::awaitable<void> RunCall(BackendCall call);
+  asio::awaitable<bool> IsDown() const;
   asio::awaitable<void> FollowCacheEventStream();
 };
 
@@ -146,9 +153,9 @@
     co_return !splitter_.overflowed();
   }
 
-  // Call after the last byte. Reports the end, or a failure if a stream has no
-  // end marker.
-  asio::awaitable<void> Finish() {
+  // Call after the last byte. Reports the end; false if a stream has no end
+  // marker.
+  asio::awaitable<bool> Finish() {
     co_await SendHead();
     if (!streamed_) {
       ReadUsage(body_, usage_);
@@ -156,12 +163,11 @@
       co_await report_(std::move(data));
     }
     if (streamed_ && !seen_done_marker_ && head_.status < kFirstErrorStatus) {
-      BackendEvent failure{id_, BackendFailure{true, "stream without an end"}};
-      co_await report_(std::move(failure));
-      co_return;
+      co_return false;
     }
     BackendEvent end{id_, BackendEnd{usage_}};
     co_await report_(std::move(end));
+    co_return true;
   }
 
  private:
@@ -283,15 +289,40 @@
     result = co_await client.Stream(MakeBackendRequest(call), sink,
                                     kIdleTimeout, runtime::Connection::kFresh);
   }
+  BackendFailure failure;
   if (result) {
-    co_await sink.Finish();
-    co_return;
+    const bool finished = co_await sink.Finish();
+    if (finished) {
+      co_return;
+    }
+    failure.detail = "stream without an end";
+  } else {
+    // The first of two sendings may have reached the server.
+    failure.handed_over = sent_again || result.error() != HttpError::kNotSent;
+    failure.detail = Name(result.error());
+  }
+  const bool ended = failure.handed_over && !stopped &&
+                     (result || result.error() != HttpError::kTimeout);
+  if (ended) {
+    failure.crashed = co_await IsDown();
+  }
+  BackendEvent event{id, std::move(failure)};
+  co_await Report(std::move(event));
+}
+
+// Whether the server accepts no connection.
+asio::awaitable<bool> BackendDriver::Impl::IsDown() const {
+  boost::system::error_code ec;
+  const auto address = asio::ip::make_address(server.address, ec);
+  if (ec) {
+    co_return false;
   }
-  // The first of two sendings may have reached the server.
-  const bool handed_over = sent_again || result.error() != HttpError::kNotSent;
-  BackendEvent failure{
-      id, BackendFailure{handed_over, std::string(Name(result.error()))}};
-  co_await Report(std::move(failure));
+  boost::beast::tcp_stream stream(duty.context());
+  stream.expires_after(kDownTimeout);
+  const asio::ip::tcp::endpoint endpoint(address, server.port);
+  auto [failed] = co_await stream.async_connect(
+      endpoint, asio::as_tuple(asio::use_awaitable));
+  co_return static_cast<bool>(failed);
 }
 
 asio::awaitable<void> BackendDriver::Impl::FollowCacheEventStream() {
--- a/agent/src/core_answers.cc
+++ b/agent/src/core_answers.cc
@@ -58,6 +58,7 @@
 }
 
 void AgentCore::Impl::OnEnd(Stream& stream, const BackendEnd& end) {
+  RecordSound(stream);
   if (!stream.dispatch.repeatable) {
     StoreClaimResult(stream);
   }
@@ -77,6 +78,9 @@
     FinishNotRun(stream, wire::Reason::kBackendFailed, failure.detail);
     return;
   }
+  if (failure.crashed) {
+    RecordCrash(stream.dispatch);
+  }
   scheduler.Finish(stream.id.request_id, 1.0);
   End(stream, wire::Outcome::kUnknown, wire::Reason::kBackendFailed,
       failure.detail, {});
--- a/agent/src/core_impl.h
+++ b/agent/src/core_impl.h
@@ -43,6 +43,7 @@
   CacheIndex cache;
   bool leaving = false;
   RulesGate rules;
+  coordination::CrashAttribution* crashes = nullptr;  // Null: not followed.
   std::size_t retained_bytes = 0;
 
   // Admission.
@@ -63,6 +64,10 @@
                        const wire::Dispatch& dispatch);
   wire::Reason::type CheckAdmission(const AttemptId& id,
                                     const wire::Dispatch& dispatch) const;
+  // How long a call refused for `reason` should wait before it comes back.
+  std::chrono::milliseconds RetryAfter(const AttemptId& id,
+                                       wire::Reason::type reason,
+                                       const wire::Dispatch& dispatch) const;
   bool IsStale(const wire::Dispatch& dispatch) const;
   ScheduledCall MakeCall(const AttemptId& id, const wire::Dispatch& it) const;
   // `earlier_attempts` at the request failed on this agent.
@@ -107,6 +112,13 @@
   void ReplayRecord(Stream& stream, const wire::ClaimRecord& record);
   void AnswerFromRecord(Stream& stream, const wire::ClaimRecord& record);
 
+  // Parts of requests on which servers crash.
+  coordination::PartVerdict FindQuarantine(
+      const wire::Dispatch& dispatch) const;
+  bool MayReachServer(const wire::Dispatch& dispatch) const;
+  void RecordCrash(const wire::Dispatch& dispatch);
+  void RecordSound(const Stream& stream);
+
   // Claims.
   static ClaimKey ClaimKeyOf(const Stream& stream);
   wire::ClaimRecord MakeRecord(const Stream& stream,
--- a/agent/src/core_requests.cc
+++ b/agent/src/core_requests.cc
@@ -54,13 +54,25 @@
                                       const AttemptId& id,
                                       wire::Reason::type reason,
                                       const wire::Dispatch& dispatch) {
-  std::chrono::milliseconds retry_after = kRetryAfter;
-  if (reason == wire::Reason::kWaitLimit) {
-    retry_after = std::chrono::ceil<std::chrono::milliseconds>(
-        scheduler.RetryAfter(MakeCall(id, dispatch)));
-  }
   Refuse(link, id, NotRunOutcome(id, dispatch.repeatable), reason, "",
-         retry_after);
+         RetryAfter(id, reason, dispatch));
+}
+
+std::chrono::milliseconds AgentCore::Impl::RetryAfter(
+    const AttemptId& id,
+    wire::Reason::type reason,
+    const wire::Dispatch& dispatch) const {
+  using std::chrono::ceil;
+  using std::chrono::milliseconds;
+  switch (reason) {
+    case wire::Reason::kWaitLimit:
+      return ceil<milliseconds>(scheduler.RetryAfter(MakeCall(id, dispatch)));
+    case wire::Reason::kQuarantinedPart:
+      return std::max(kRetryAfter,
+                      ceil<milliseconds>(FindQuarantine(dispatch).left));
+    default:
+      return kRetryAfter;
+  }
 }
 
 // A duplicate of a refused dispatch must not run either. So kNotRun is reported
@@ -125,6 +137,9 @@
   if (IsStale(dispatch)) {
     return wire::Reason::kStaleCache;
   }
+  if (FindQuarantine(dispatch).state == coordination::PartState::kQuarantined) {
+    return wire::Reason::kQuarantinedPart;
+  }
   return scheduler.Admit(MakeCall(id, dispatch));
 }
 
@@ -185,6 +200,11 @@
     FinishNotRun(stream, wire::Reason::kStaleCache, "the server started again");
     return;
   }
+  if (!MayReachServer(stream.dispatch)) {
+    FinishNotRun(stream, wire::Reason::kQuarantinedPart,
+                 "servers crashed on a part of it");
+    return;
+  }
   if (stream.dispatch.repeatable) {
     HandOver(stream);
     return;
@@ -259,8 +279,12 @@
     outcome = NotRunOutcome({request, it}, stream.dispatch.repeatable);
   }
   if (stream.link != 0) {
+    const auto retry_after =
+        reason == wire::Reason::kQuarantinedPart
+            ? RetryAfter(stream.id, reason, stream.dispatch)
+            : kRetryAfter;
     Refuse(stream.link, {request, stream.link_attempt}, outcome, reason,
-           std::move(detail), kRetryAfter);
+           std::move(detail), retry_after);
   }
   Erase(streams.find(stream.id.request_id));
 }
--- a/agent/src/process.cc
+++ b/agent/src/process.cc
@@ -128,6 +128,7 @@
 
   int Run() {
     core_.FollowRules(node_.configuration());
+    core_.FollowCrashes(node_.crashes());
     std::string error;
     if (!listener_.Listen(settings_.peers, error) ||
         !datagrams_.Listen(settings_.peers, error) ||
--- a/control/include/control/node.h
+++ b/control/include/control/node.h
@@ -10,6 +10,7 @@
 
 #include "coordination/clock.h"
 #include "coordination/configuration_follower.h"
+#include "coordination/crash_attribution.h"
 #include "coordination/membership.h"
 #include "platform/instance_list.h"
 #include "runtime/metrics.h"
@@ -82,6 +83,8 @@
 
   const coordination::ConfigurationFollower& configuration() const;
   const coordination::Membership& members() const;
+  /** What all members know of servers that crash on parts of requests. */
+  coordination::CrashAttribution& crashes();
 
   /**
    * Whether the directory is complete enough to use: the list was read, or
--- /dev/null
+++ b/control/src/crash_relay.cc
@@ -0,0 +1,72 @@
+#include "crash_relay.h"
+
+#include <utility>
+
+#include <spdlog/fmt/fmt.h>
+
+#include "runtime/log.h"
+#include "wire/crash_facts.h"
+
+namespace peridotgate::control {
+namespace {
+
+// News goes to this many members, at two ticks in a row.
+constexpr std::size_t kFanOut = 3;
+constexpr std::chrono::seconds kRepeatPeriod{1};
+
+}  // namespace
+
+CrashRelay::CrashRelay(const coordination::PeerSource& peers,
+                       const coordination::Clock& clock,
+                       std::uint64_t seed,
+                       runtime::Metrics& metrics,
+                       SendFunction send)
+    : peers_(peers),
+      clock_(clock),
+      random_(seed),
+      send_(std::move(send)),
+      quarantined_(metrics.GetGauge("peridotgate_quarantined_parts")) {}
+
+void CrashRelay::OnFacts(const wire::CrashFacts& facts) {
+  const coordination::TimePoint now = clock_.Now();
+  crashes_.Merge(wire::FromWire(facts, now), now);
+}
+
+void CrashRelay::Tick() {
+  Report();
+  coordination::CrashFacts news = crashes_.TakeNews();
+  Send(last_news_, kFanOut);
+  Send(news, kFanOut);
+  last_news_ = std::move(news);
+  if (clock_.Now() >= next_repeat_) {
+    next_repeat_ = clock_.Now() + kRepeatPeriod;
+    Send(crashes_.Current(clock_.Now()), 1);
+  }
+}
+
+void CrashRelay::Send(const coordination::CrashFacts& facts,
+                      std::size_t receivers) {
+  if (facts.empty()) {
+    return;
+  }
+  const wire::Message message(wire::ToWire(facts, clock_.Now()));
+  for (const auto& it : peers_.Draw(receivers, random_)) {
+    send_(it, message);
+  }
+}
+
+void CrashRelay::Report() {
+  const auto held = crashes_.quarantines(clock_.Now());
+  quarantined_.Set(static_cast<std::int64_t>(held.size()));
+  for (const coordination::Quarantine& it : crashes_.TakeQuarantined()) {
+    runtime::LogStateChange(
+        fmt::format("part {:016x}", it.part), "quarantined",
+        fmt::format("{} crashes on {} servers", it.crashes, it.servers));
+  }
+  for (const coordination::PartKey it : crashes_.TakeFreed()) {
+    runtime::LogStateChange(fmt::format("part {:016x}", it), "free",
+                            "a request with it was answered");
+  }
+}
+
+}  // namespace peridotgate::control
--- a/control/src/node.cc
+++ b/control/src/node.cc
@@ -10,6 +10,7 @@
 #include "convert.h"
 #include "coordination/configuration_gossip.h"
 #include "coordination/jitter.h"
+#include "crash_relay.h"
 #include "directory.h"
 #include "list_reader.h"
 #include "runtime/log.h"
@@ -95,6 +96,14 @@
               Send(to, message);
             },
             this->hooks.on_remote_service),
+        crash_relay(
+            members,
+            clock,
+            random(),
+            metrics,
+            [this](const PeerAddress& to, const wire::Message& message) {
+              Send(to, message);
+            }),
         sent_messages(metrics.GetCounter("peridotgate_control_messages_total")),
         sent_bytes(metrics.GetCounter("peridotgate_control_bytes_total")),
         version_gauge(metrics.GetGauge("peridotgate_rules_version")),
@@ -113,6 +122,7 @@
   TableFollower table_follower;
   BulkLinks bulk_links;
   ShareRelay share_relay;
+  CrashRelay crash_relay;
   runtime::Counter& sent_messages;
   runtime::Counter& sent_bytes;
   runtime::Gauge& version_gauge;
@@ -200,6 +210,10 @@
       share_relay.OnReport(from, *report);
       return true;
     }
+    if (const auto* facts = std::get_if<wire::CrashFacts>(&message)) {
+      crash_relay.OnFacts(*facts);
+      return true;
+    }
     auto gossiped = GossipFromWire(message);
     if (!gossiped) {
       return false;
@@ -230,6 +244,7 @@
       members.Tick();
       bulk_links.Tick();
       share_relay.Tick();
+      crash_relay.Tick();
       ReportVersionToEntry();
       NotifyIfMembersChanged();
       Flush();
@@ -323,6 +338,10 @@
   asio::co_spawn(impl_->context, impl_->FollowPlatform(), asio::detached);
 }
 
+coordination::CrashAttribution& Node::crashes() {
+  return impl_->crash_relay.crashes();
+}
+
 bool Node::OnDatagram(const asio::ip::udp::endpoint& from,
                       const wire::Message& message) {
   return impl_->OnMessage({from.address().to_string(), from.port()}, message);
--- a/coordination/include/coordination/crash_attribution.h
+++ b/coordination/include/coordination/crash_attribution.h
@@ -131,6 +131,9 @@
    * that is `kProbing` are held back for `probe_time`. */
   PartVerdict Check(std::span<const PartKey> parts, TimePoint now);
 
+  /** As `Check`, for a request that is not sent yet: holds nothing back. */
+  PartVerdict Find(std::span<const PartKey> parts, TimePoint now);
+
   /** Adds what another instance knows. */
   void Merge(const CrashFacts& facts, TimePoint now);
   /** What became known since the last call, from this or other instances. */
--- a/coordination/src/crash_attribution.cc
+++ b/coordination/src/crash_attribution.cc
@@ -374,14 +374,13 @@
   }
 }
 
-PartVerdict CrashAttribution::Check(std::span<const PartKey> parts,
-                                    TimePoint now) {
-  Impl& impl = *impl_;
-  impl.Evaluate(now);
+PartVerdict CrashAttribution::Find(std::span<const PartKey> parts,
+                                   TimePoint now) {
+  impl_->Evaluate(now);
   PartVerdict verdict;
   for (const PartKey part : parts) {
-    const auto found = impl.quarantines.find(part);
-    if (found == impl.quarantines.end()) {
+    const auto found = impl_->quarantines.find(part);
+    if (found == impl_->quarantines.end()) {
       continue;
     }
     const Quarantine& held = found->second;
@@ -391,13 +390,20 @@
     }
     verdict = {PartState::kProbing, part, {}};
   }
-  if (verdict.state == PartState::kProbing) {
-    for (const PartKey part : parts) {
-      const auto found = impl.quarantines.find(part);
-      if (found != impl.quarantines.end()) {
-        found->second.held_until = now + impl.limits.probe_time;
-        impl.news.quarantines.push_back(found->second);
-      }
+  return verdict;
+}
+
+PartVerdict CrashAttribution::Check(std::span<const PartKey> parts,
+                                    TimePoint now) {
+  const PartVerdict verdict = Find(parts, now);
+  if (verdict.state != PartState::kProbing) {
+    return verdict;
+  }
+  for (const PartKey part : parts) {
+    const auto found = impl_->quarantines.find(part);
+    if (found != impl_->quarantines.end()) {
+      found->second.held_until = now + impl_->limits.probe_time;
+      impl_->news.quarantines.push_back(found->second);
     }
   }
   return verdict;
--- a/entry/src/caller_request.cc
+++ b/entry/src/caller_request.cc
@@ -2,10 +2,14 @@
 
 #include <charconv>
 #include <limits>
+#include <numeric>
+#include <string>
+#include <vector>
 
 #include <spdlog/fmt/fmt.h>
 #include <boost/json.hpp>
 
+#include "routing/part_keys.h"
 #include "routing/prefix_keys.h"
 #include "runtime/digest.h"
 
@@ -37,33 +41,40 @@
           0};
 }
 
-// The text that prefix keys are computed from: the prompt if the body has one,
-// else the roles and contents of its messages in order.
-std::string PromptText(const json::object& body) {
-  std::string text;
-  if (const json::value* it = body.if_contains("prompt")) {
-    text +=
-        it->is_string() ? std::string(it->get_string()) : json::serialize(*it);
-    return text;
-  }
+std::string TextOf(const json::value& value) {
+  return value.is_string() ? std::string(value.get_string())
+                           : json::serialize(value);
+}
+
+// The roles and contents of the body's messages in order.
+std::vector<std::string> MessageTexts(const json::object& body) {
+  std::vector<std::string> texts;
   const json::value* messages = body.if_contains("messages");
   if (messages == nullptr || !messages->is_array()) {
-    return text;
+    return texts;
   }
   for (const json::value& it : messages->get_array()) {
     if (!it.is_object()) {
       continue;
     }
+    std::string text;
     for (const char* key : {"role", "content"}) {
       const json::value* part = it.get_object().if_contains(key);
       if (part != nullptr) {
-        text += part->is_string() ? std::string(part->get_string())
-                                  : json::serialize(*part);
-        text += '\n';
+        text += TextOf(*part) + '\n';
       }
     }
+    texts.push_back(std::move(text));
   }
-  return text;
+  return texts;
+}
+
+// The parts of the prompt in order: pieces of the prompt if the body has one,
+// else its messages.
+std::vector<std::string> PromptParts(const json::object& body) {
+  const json::value* prompt = body.if_contains("prompt");
+  return prompt == nullptr ? MessageTexts(body)
+                           : routing::SplitPrompt(TextOf(*prompt));
 }
 
 Result<const wire::KindRules*, Problem> PickKind(
@@ -133,7 +144,11 @@
                        fmt::format("kind '{}' is served by {}, not by {}",
                                    kind.name, kind.target, dispatch.target));
   }
-  const std::string prompt = PromptText(body.value());
+  const std::vector<std::string> parts = PromptParts(body.value());
+  const auto part_keys = routing::PartKeys(dispatch.target, parts);
+  dispatch.part_keys.assign(part_keys.begin(), part_keys.end());
+  const std::string prompt =
+      std::accumulate(parts.begin(), parts.end(), std::string());
   dispatch.prompt_tokens = routing::EstimateTokens(prompt);
   dispatch.streamed = out.streamed;
   auto keys = routing::PrefixKeys(
--- a/entry/src/problem.cc
+++ b/entry/src/problem.cc
@@ -21,7 +21,7 @@
   std::string_view title;
 };
 
-constexpr std::array<ReasonRow, 17> kReasons = {{
+constexpr std::array<ReasonRow, 18> kReasons = {{
     {Reason::kNone, "none", 500, "Failed"},
     {Reason::kLeaving, "leaving", 503, "The server is leaving"},
     {Reason::kStaleCache, "stale_cache", 503, "The server changed"},
@@ -39,6 +39,8 @@
     {Reason::kNoBackend, "no_backend", 503, "No server can take the call"},
     {Reason::kLateAnswer, "late_answer", 504, "No answer in time"},
     {Reason::kLimit, "limit", 413, "A limit was passed"},
+    {Reason::kQuarantinedPart, "quarantined_part", 503,
+     "Servers crashed on a part of the request"},
 }};
 
 const ReasonRow& FindReason(Reason::type reason) {
--- a/entry/src/router.cc
+++ b/entry/src/router.cc
@@ -31,7 +31,8 @@
          reason == wire::Reason::kPlatformDown ||
          reason == wire::Reason::kRevoked ||
          reason == wire::Reason::kStaleRules ||
-         reason == wire::Reason::kInProgress;
+         reason == wire::Reason::kInProgress ||
+         reason == wire::Reason::kQuarantinedPart;
 }
 
 }  // namespace
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -61,7 +61,8 @@
   Reason::kCancelled,
   Reason::kNoBackend,
   Reason::kLateAnswer,
-  Reason::kLimit
+  Reason::kLimit,
+  Reason::kQuarantinedPart
 };
 const char* _kReasonNames[] = {
   "kNone",
@@ -80,9 +81,10 @@
   "kCancelled",
   "kNoBackend",
   "kLateAnswer",
-  "kLimit"
+  "kLimit",
+  "kQuarantinedPart"
 };
-const std::map<int, const char*> _Reason_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(17, _kReasonValues, _kReasonNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _Reason_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(18, _kReasonValues, _kReasonNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const Reason::type& val) {
   std::map<int, const char*>::const_iterator it = _Reason_VALUES_TO_NAMES.find(val);
@@ -1188,6 +1190,10 @@
 void Dispatch::__set_import_from(const std::string& val) {
   this->import_from = val;
 }
+
+void Dispatch::__set_part_keys(const std::vector<int64_t> & val) {
+  this->part_keys = val;
+}
 std::ostream& operator<<(std::ostream& out, const Dispatch& obj)
 {
   obj.printTo(out);
@@ -1436,6 +1442,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->part_keys.clear();
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->part_keys.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
+            {
+              xfer += iprot->readI64(this->part_keys[_i31]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.part_keys = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1496,10 +1522,10 @@
   xfer += oprot->writeFieldBegin("prefix_keys", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->prefix_keys.size()));
-    std::vector<int64_t> ::const_iterator _iter27;
-    for (_iter27 = this->prefix_keys.begin(); _iter27 != this->prefix_keys.end(); ++_iter27)
+    std::vector<int64_t> ::const_iterator _iter32;
+    for (_iter32 = this->prefix_keys.begin(); _iter32 != this->prefix_keys.end(); ++_iter32)
     {
-      xfer += oprot->writeI64((*_iter27));
+      xfer += oprot->writeI64((*_iter32));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1565,6 +1591,18 @@
   xfer += oprot->writeString(this->import_from);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("part_keys", ::apache::thrift::protocol::T_LIST, 27);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->part_keys.size()));
+    std::vector<int64_t> ::const_iterator _iter33;
+    for (_iter33 = this->part_keys.begin(); _iter33 != this->part_keys.end(); ++_iter33)
+    {
+      xfer += oprot->writeI64((*_iter33));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1598,125 +1636,130 @@
   swap(a.long_work, b.long_work);
   swap(a.priority, b.priority);
   swap(a.import_from, b.import_from);
+  swap(a.part_keys, b.part_keys);
   swap(a.__isset, b.__isset);
 }
 
-Dispatch::Dispatch(const Dispatch& other28) {
-  request_id = other28.request_id;
-  attempt = other28.attempt;
-  config_version = other28.config_version;
-  organisation = other28.organisation;
-  kind = other28.kind;
-  target = other28.target;
-  method = other28.method;
-  path = other28.path;
-  content_type = other28.content_type;
-  body = other28.body;
-  prefix_keys = other28.prefix_keys;
-  engine_incarnation = other28.engine_incarnation;
-  weights_version = other28.weights_version;
-  streamed = other28.streamed;
-  resume_position = other28.resume_position;
-  repeatable = other28.repeatable;
-  idempotency_key = other28.idempotency_key;
-  wait_limit_us = other28.wait_limit_us;
-  prompt_tokens = other28.prompt_tokens;
-  output_tokens = other28.output_tokens;
-  traceparent = other28.traceparent;
-  second_attempt = other28.second_attempt;
-  weight = other28.weight;
-  long_work = other28.long_work;
-  priority = other28.priority;
-  import_from = other28.import_from;
-  __isset = other28.__isset;
-}
-Dispatch::Dispatch(Dispatch&& other29) noexcept {
-  request_id = std::move(other29.request_id);
-  attempt = other29.attempt;
-  config_version = other29.config_version;
-  organisation = std::move(other29.organisation);
-  kind = std::move(other29.kind);
-  target = std::move(other29.target);
-  method = std::move(other29.method);
-  path = std::move(other29.path);
-  content_type = std::move(other29.content_type);
-  body = std::move(other29.body);
-  prefix_keys = std::move(other29.prefix_keys);
-  engine_incarnation = other29.engine_incarnation;
-  weights_version = other29.weights_version;
-  streamed = other29.streamed;
-  resume_position = other29.resume_position;
-  repeatable = other29.repeatable;
-  idempotency_key = std::move(other29.idempotency_key);
-  wait_limit_us = other29.wait_limit_us;
-  prompt_tokens = other29.prompt_tokens;
-  output_tokens = other29.output_tokens;
-  traceparent = std::move(other29.traceparent);
-  second_attempt = other29.second_attempt;
-  weight = other29.weight;
-  long_work = other29.long_work;
-  priority = other29.priority;
-  import_from = std::move(other29.import_from);
-  __isset = other29.__isset;
-}
-Dispatch& Dispatch::operator=(const Dispatch& other30) {
-  request_id = other30.request_id;
-  attempt = other30.attempt;
-  config_version = other30.config_version;
-  organisation = other30.organisation;
-  kind = other30.kind;
-  target = other30.target;
-  method = other30.method;
-  path = other30.path;
-  content_type = other30.content_type;
-  body = other30.body;
-  prefix_keys = other30.prefix_keys;
-  engine_incarnation = other30.engine_incarnation;
-  weights_version = other30.weights_version;
-  streamed = other30.streamed;
-  resume_position = other30.resume_position;
-  repeatable = other30.repeatable;
-  idempotency_key = other30.idempotency_key;
-  wait_limit_us = other30.wait_limit_us;
-  prompt_tokens = other30.prompt_tokens;
-  output_tokens = other30.output_tokens;
-  traceparent = other30.traceparent;
-  second_attempt = other30.second_attempt;
-  weight = other30.weight;
-  long_work = other30.long_work;
-  priority = other30.priority;
-  import_from = other30.import_from;
-  __isset = other30.__isset;
+Dispatch::Dispatch(const Dispatch& other34) {
+  request_id = other34.request_id;
+  attempt = other34.attempt;
+  config_version = other34.config_version;
+  organisation = other34.organisation;
+  kind = other34.kind;
+  target = other34.target;
+  method = other34.method;
+  path = other34.path;
+  content_type = other34.content_type;
+  body = other34.body;
+  prefix_keys = other34.prefix_keys;
+  engine_incarnation = other34.engine_incarnation;
+  weights_version = other34.weights_version;
+  streamed = other34.streamed;
+  resume_position = other34.resume_position;
+  repeatable = other34.repeatable;
+  idempotency_key = other34.idempotency_key;
+  wait_limit_us = other34.wait_limit_us;
+  prompt_tokens = other34.prompt_tokens;
+  output_tokens = other34.output_tokens;
+  traceparent = other34.traceparent;
+  second_attempt = other34.second_attempt;
+  weight = other34.weight;
+  long_work = other34.long_work;
+  priority = other34.priority;
+  import_from = other34.import_from;
+  part_keys = other34.part_keys;
+  __isset = other34.__isset;
+}
+Dispatch::Dispatch(Dispatch&& other35) noexcept {
+  request_id = std::move(other35.request_id);
+  attempt = other35.attempt;
+  config_version = other35.config_version;
+  organisation = std::move(other35.organisation);
+  kind = std::move(other35.kind);
+  target = std::move(other35.target);
+  method = std::move(other35.method);
+  path = std::move(other35.path);
+  content_type = std::move(other35.content_type);
+  body = std::move(other35.body);
+  prefix_keys = std::move(other35.prefix_keys);
+  engine_incarnation = other35.engine_incarnation;
+  weights_version = other35.weights_version;
+  streamed = other35.streamed;
+  resume_position = other35.resume_position;
+  repeatable = other35.repeatable;
+  idempotency_key = std::move(other35.idempotency_key);
+  wait_limit_us = other35.wait_limit_us;
+  prompt_tokens = other35.prompt_tokens;
+  output_tokens = other35.output_tokens;
+  traceparent = std::move(other35.traceparent);
+  second_attempt = other35.second_attempt;
+  weight = other35.weight;
+  long_work = other35.long_work;
+  priority = other35.priority;
+  import_from = std::move(other35.import_from);
+  part_keys = std::move(other35.part_keys);
+  __isset = other35.__isset;
+}
+Dispatch& Dispatch::operator=(const Dispatch& other36) {
+  request_id = other36.request_id;
+  attempt = other36.attempt;
+  config_version = other36.config_version;
+  organisation = other36.organisation;
+  kind = other36.kind;
+  target = other36.target;
+  method = other36.method;
+  path = other36.path;
+  content_type = other36.content_type;
+  body = other36.body;
+  prefix_keys = other36.prefix_keys;
+  engine_incarnation = other36.engine_incarnation;
+  weights_version = other36.weights_version;
+  streamed = other36.streamed;
+  resume_position = other36.resume_position;
+  repeatable = other36.repeatable;
+  idempotency_key = other36.idempotency_key;
+  wait_limit_us = other36.wait_limit_us;
+  prompt_tokens = other36.prompt_tokens;
+  output_tokens = other36.output_tokens;
+  traceparent = other36.traceparent;
+  second_attempt = other36.second_attempt;
+  weight = other36.weight;
+  long_work = other36.long_work;
+  priority = other36.priority;
+  import_from = other36.import_from;
+  part_keys = other36.part_keys;
+  __isset = other36.__isset;
   return *this;
 }
-Dispatch& Dispatch::operator=(Dispatch&& other31) noexcept {
-  request_id = std::move(other31.request_id);
-  attempt = other31.attempt;
-  config_version = other31.config_version;
-  organisation = std::move(other31.organisation);
-  kind = std::move(other31.kind);
-  target = std::move(other31.target);
-  method = std::move(other31.method);
-  path = std::move(other31.path);
-  content_type = std::move(other31.content_type);
-  body = std::move(other31.body);
-  prefix_keys = std::move(other31.prefix_keys);
-  engine_incarnation = other31.engine_incarnation;
-  weights_version = other31.weights_version;
-  streamed = other31.streamed;
-  resume_position = other31.resume_position;
-  repeatable = other31.repeatable;
-  idempotency_key = std::move(other31.idempotency_key);
-  wait_limit_us = other31.wait_limit_us;
-  prompt_tokens = other31.prompt_tokens;
-  output_tokens = other31.output_tokens;
-  traceparent = std::move(other31.traceparent);
-  second_attempt = other31.second_attempt;
-  weight = other31.weight;
-  long_work = other31.long_work;
-  priority = other31.priority;
-  import_from = std::move(other31.import_from);
-  __isset = other31.__isset;
+Dispatch& Dispatch::operator=(Dispatch&& other37) noexcept {
+  request_id = std::move(other37.request_id);
+  attempt = other37.attempt;
+  config_version = other37.config_version;
+  organisation = std::move(other37.organisation);
+  kind = std::move(other37.kind);
+  target = std::move(other37.target);
+  method = std::move(other37.method);
+  path = std::move(other37.path);
+  content_type = std::move(other37.content_type);
+  body = std::move(other37.body);
+  prefix_keys = std::move(other37.prefix_keys);
+  engine_incarnation = other37.engine_incarnation;
+  weights_version = other37.weights_version;
+  streamed = other37.streamed;
+  resume_position = other37.resume_position;
+  repeatable = other37.repeatable;
+  idempotency_key = std::move(other37.idempotency_key);
+  wait_limit_us = other37.wait_limit_us;
+  prompt_tokens = other37.prompt_tokens;
+  output_tokens = other37.output_tokens;
+  traceparent = std::move(other37.traceparent);
+  second_attempt = other37.second_attempt;
+  weight = other37.weight;
+  long_work = other37.long_work;
+  priority = other37.priority;
+  import_from = std::move(other37.import_from);
+  part_keys = std::move(other37.part_keys);
+  __isset = other37.__isset;
   return *this;
 }
 void Dispatch::printTo(std::ostream& out) const {
@@ -1748,6 +1791,7 @@
   out << ", " << "long_work=" << to_string(long_work);
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "import_from=" << to_string(import_from);
+  out << ", " << "part_keys=" << to_string(part_keys);
   out << ")";
 }
 
@@ -1929,46 +1973,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplyHead::ReplyHead(const ReplyHead& other32) {
-  request_id = other32.request_id;
-  attempt = other32.attempt;
-  sequence = other32.sequence;
-  status = other32.status;
-  content_type = other32.content_type;
-  position = other32.position;
-  replayed = other32.replayed;
-  __isset = other32.__isset;
-}
-ReplyHead::ReplyHead(ReplyHead&& other33) noexcept {
-  request_id = std::move(other33.request_id);
-  attempt = other33.attempt;
-  sequence = other33.sequence;
-  status = other33.status;
-  content_type = std::move(other33.content_type);
-  position = other33.position;
-  replayed = other33.replayed;
-  __isset = other33.__isset;
-}
-ReplyHead& ReplyHead::operator=(const ReplyHead& other34) {
-  request_id = other34.request_id;
-  attempt = other34.attempt;
-  sequence = other34.sequence;
-  status = other34.status;
-  content_type = other34.content_type;
-  position = other34.position;
-  replayed = other34.replayed;
-  __isset = other34.__isset;
+ReplyHead::ReplyHead(const ReplyHead& other38) {
+  request_id = other38.request_id;
+  attempt = other38.attempt;
+  sequence = other38.sequence;
+  status = other38.status;
+  content_type = other38.content_type;
+  position = other38.position;
+  replayed = other38.replayed;
+  __isset = other38.__isset;
+}
+ReplyHead::ReplyHead(ReplyHead&& other39) noexcept {
+  request_id = std::move(other39.request_id);
+  attempt = other39.attempt;
+  sequence = other39.sequence;
+  status = other39.status;
+  content_type = std::move(other39.content_type);
+  position = other39.position;
+  replayed = other39.replayed;
+  __isset = other39.__isset;
+}
+ReplyHead& ReplyHead::operator=(const ReplyHead& other40) {
+  request_id = other40.request_id;
+  attempt = other40.attempt;
+  sequence = other40.sequence;
+  status = other40.status;
+  content_type = other40.content_type;
+  position = other40.position;
+  replayed = other40.replayed;
+  __isset = other40.__isset;
   return *this;
 }
-ReplyHead& ReplyHead::operator=(ReplyHead&& other35) noexcept {
-  request_id = std::move(other35.request_id);
-  attempt = other35.attempt;
-  sequence = other35.sequence;
-  status = other35.status;
-  content_type = std::move(other35.content_type);
-  position = other35.position;
-  replayed = other35.replayed;
-  __isset = other35.__isset;
+ReplyHead& ReplyHead::operator=(ReplyHead&& other41) noexcept {
+  request_id = std::move(other41.request_id);
+  attempt = other41.attempt;
+  sequence = other41.sequence;
+  status = other41.status;
+  content_type = std::move(other41.content_type);
+  position = other41.position;
+  replayed = other41.replayed;
+  __isset = other41.__isset;
   return *this;
 }
 void ReplyHead::printTo(std::ostream& out) const {
@@ -2128,38 +2172,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplyChunk::ReplyChunk(const ReplyChunk& other36) {
-  request_id = other36.request_id;
-  attempt = other36.attempt;
-  sequence = other36.sequence;
-  position = other36.position;
-  data = other36.data;
-  __isset = other36.__isset;
+ReplyChunk::ReplyChunk(const ReplyChunk& other42) {
+  request_id = other42.request_id;
+  attempt = other42.attempt;
+  sequence = other42.sequence;
+  position = other42.position;
+  data = other42.data;
+  __isset = other42.__isset;
 }
-ReplyChunk::ReplyChunk(ReplyChunk&& other37) noexcept {
-  request_id = std::move(other37.request_id);
-  attempt = other37.attempt;
-  sequence = other37.sequence;
-  position = other37.position;
-  data = std::move(other37.data);
-  __isset = other37.__isset;
+ReplyChunk::ReplyChunk(ReplyChunk&& other43) noexcept {
+  request_id = std::move(other43.request_id);
+  attempt = other43.attempt;
+  sequence = other43.sequence;
+  position = other43.position;
+  data = std::move(other43.data);
+  __isset = other43.__isset;
 }
-ReplyChunk& ReplyChunk::operator=(const ReplyChunk& other38) {
-  request_id = other38.request_id;
-  attempt = other38.attempt;
-  sequence = other38.sequence;
-  position = other38.position;
-  data = other38.data;
-  __isset = other38.__isset;
+ReplyChunk& ReplyChunk::operator=(const ReplyChunk& other44) {
+  request_id = other44.request_id;
+  attempt = other44.attempt;
+  sequence = other44.sequence;
+  position = other44.position;
+  data = other44.data;
+  __isset = other44.__isset;
   return *this;
 }
-ReplyChunk& ReplyChunk::operator=(ReplyChunk&& other39) noexcept {
-  request_id = std::move(other39.request_id);
-  attempt = other39.attempt;
-  sequence = other39.sequence;
-  position = other39.position;
-  data = std::move(other39.data);
-  __isset = other39.__isset;
+ReplyChunk& ReplyChunk::operator=(ReplyChunk&& other45) noexcept {
+  request_id = std::move(other45.request_id);
+  attempt = other45.attempt;
+  sequence = other45.sequence;
+  position = other45.position;
+  data = std::move(other45.data);
+  __isset = other45.__isset;
   return *this;
 }
 void ReplyChunk::printTo(std::ostream& out) const {
@@ -2287,9 +2331,9 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast40;
-          xfer += iprot->readI32(ecast40);
-          this->outcome = static_cast<Outcome::type>(ecast40);
+          int32_t ecast46;
+          xfer += iprot->readI32(ecast46);
+          this->outcome = static_cast<Outcome::type>(ecast46);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2297,9 +2341,9 @@
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast41;
-          xfer += iprot->readI32(ecast41);
-          this->reason = static_cast<Reason::type>(ecast41);
+          int32_t ecast47;
+          xfer += iprot->readI32(ecast47);
+          this->reason = static_cast<Reason::type>(ecast47);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2440,66 +2484,66 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplyEnd::ReplyEnd(const ReplyEnd& other42) {
-  request_id = other42.request_id;
-  attempt = other42.attempt;
-  sequence = other42.sequence;
-  position = other42.position;
-  outcome = other42.outcome;
-  reason = other42.reason;
-  detail = other42.detail;
-  cached_tokens = other42.cached_tokens;
-  prefill_tokens = other42.prefill_tokens;
-  output_tokens = other42.output_tokens;
-  queue_us = other42.queue_us;
-  first_token_us = other42.first_token_us;
-  __isset = other42.__isset;
+ReplyEnd::ReplyEnd(const ReplyEnd& other48) {
+  request_id = other48.request_id;
+  attempt = other48.attempt;
+  sequence = other48.sequence;
+  position = other48.position;
+  outcome = other48.outcome;
+  reason = other48.reason;
+  detail = other48.detail;
+  cached_tokens = other48.cached_tokens;
+  prefill_tokens = other48.prefill_tokens;
+  output_tokens = other48.output_tokens;
+  queue_us = other48.queue_us;
+  first_token_us = other48.first_token_us;
+  __isset = other48.__isset;
 }
-ReplyEnd::ReplyEnd(ReplyEnd&& other43) noexcept {
-  request_id = std::move(other43.request_id);
-  attempt = other43.attempt;
-  sequence = other43.sequence;
-  position = other43.position;
-  outcome = other43.outcome;
-  reason = other43.reason;
-  detail = std::move(other43.detail);
-  cached_tokens = other43.cached_tokens;
-  prefill_tokens = other43.prefill_tokens;
-  output_tokens = other43.output_tokens;
-  queue_us = other43.queue_us;
-  first_token_us = other43.first_token_us;
-  __isset = other43.__isset;
+ReplyEnd::ReplyEnd(ReplyEnd&& other49) noexcept {
+  request_id = std::move(other49.request_id);
+  attempt = other49.attempt;
+  sequence = other49.sequence;
+  position = other49.position;
+  outcome = other49.outcome;
+  reason = other49.reason;
+  detail = std::move(other49.detail);
+  cached_tokens = other49.cached_tokens;
+  prefill_tokens = other49.prefill_tokens;
+  output_tokens = other49.output_tokens;
+  queue_us = other49.queue_us;
+  first_token_us = other49.first_token_us;
+  __isset = other49.__isset;
 }
-ReplyEnd& ReplyEnd::operator=(const ReplyEnd& other44) {
-  request_id = other44.request_id;
-  attempt = other44.attempt;
-  sequence = other44.sequence;
-  position = other44.position;
-  outcome = other44.outcome;
-  reason = other44.reason;
-  detail = other44.detail;
-  cached_tokens = other44.cached_tokens;
-  prefill_tokens = other44.prefill_tokens;
-  output_tokens = other44.output_tokens;
-  queue_us = other44.queue_us;
-  first_token_us = other44.first_token_us;
-  __isset = other44.__isset;
+ReplyEnd& ReplyEnd::operator=(const ReplyEnd& other50) {
+  request_id = other50.request_id;
+  attempt = other50.attempt;
+  sequence = other50.sequence;
+  position = other50.position;
+  outcome = other50.outcome;
+  reason = other50.reason;
+  detail = other50.detail;
+  cached_tokens = other50.cached_tokens;
+  prefill_tokens = other50.prefill_tokens;
+  output_tokens = other50.output_tokens;
+  queue_us = other50.queue_us;
+  first_token_us = other50.first_token_us;
+  __isset = other50.__isset;
   return *this;
 }
-ReplyEnd& ReplyEnd::operator=(ReplyEnd&& other45) noexcept {
-  request_id = std::move(other45.request_id);
-  attempt = other45.attempt;
-  sequence = other45.sequence;
-  position = other45.position;
-  outcome = other45.outcome;
-  reason = other45.reason;
-  detail = std::move(other45.detail);
-  cached_tokens = other45.cached_tokens;
-  prefill_tokens = other45.prefill_tokens;
-  output_tokens = other45.output_tokens;
-  queue_us = other45.queue_us;
-  first_token_us = other45.first_token_us;
-  __isset = other45.__isset;
+ReplyEnd& ReplyEnd::operator=(ReplyEnd&& other51) noexcept {
+  request_id = std::move(other51.request_id);
+  attempt = other51.attempt;
+  sequence = other51.sequence;
+  position = other51.position;
+  outcome = other51.outcome;
+  reason = other51.reason;
+  detail = std::move(other51.detail);
+  cached_tokens = other51.cached_tokens;
+  prefill_tokens = other51.prefill_tokens;
+  output_tokens = other51.output_tokens;
+  queue_us = other51.queue_us;
+  first_token_us = other51.first_token_us;
+  __isset = other51.__isset;
   return *this;
 }
 void ReplyEnd::printTo(std::ostream& out) const {
@@ -2598,9 +2642,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast46;
-          xfer += iprot->readI32(ecast46);
-          this->outcome = static_cast<Outcome::type>(ecast46);
+          int32_t ecast52;
+          xfer += iprot->readI32(ecast52);
+          this->outcome = static_cast<Outcome::type>(ecast52);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2608,9 +2652,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast47;
-          xfer += iprot->readI32(ecast47);
-          this->reason = static_cast<Reason::type>(ecast47);
+          int32_t ecast53;
+          xfer += iprot->readI32(ecast53);
+          this->reason = static_cast<Reason::type>(ecast53);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2702,46 +2746,46 @@
   swap(a.__isset, b.__isset);
 }
 
-Refusal::Refusal(const Refusal& other48) {
-  request_id = other48.request_id;
-  attempt = other48.attempt;
-  outcome = other48.outcome;
-  reason = other48.reason;
-  detail = other48.detail;
-  retry_after_ms = other48.retry_after_ms;
-  config_version = other48.config_version;
-  __isset = other48.__isset;
+Refusal::Refusal(const Refusal& other54) {
+  request_id = other54.request_id;
+  attempt = other54.attempt;
+  outcome = other54.outcome;
+  reason = other54.reason;
+  detail = other54.detail;
+  retry_after_ms = other54.retry_after_ms;
+  config_version = other54.config_version;
+  __isset = other54.__isset;
 }
-Refusal::Refusal(Refusal&& other49) noexcept {
-  request_id = std::move(other49.request_id);
-  attempt = other49.attempt;
-  outcome = other49.outcome;
-  reason = other49.reason;
-  detail = std::move(other49.detail);
-  retry_after_ms = other49.retry_after_ms;
-  config_version = other49.config_version;
-  __isset = other49.__isset;
+Refusal::Refusal(Refusal&& other55) noexcept {
+  request_id = std::move(other55.request_id);
+  attempt = other55.attempt;
+  outcome = other55.outcome;
+  reason = other55.reason;
+  detail = std::move(other55.detail);
+  retry_after_ms = other55.retry_after_ms;
+  config_version = other55.config_version;
+  __isset = other55.__isset;
 }
-Refusal& Refusal::operator=(const Refusal& other50) {
-  request_id = other50.request_id;
-  attempt = other50.attempt;
-  outcome = other50.outcome;
-  reason = other50.reason;
-  detail = other50.detail;
-  retry_after_ms = other50.retry_after_ms;
-  config_version = other50.config_version;
-  __isset = other50.__isset;
+Refusal& Refusal::operator=(const Refusal& other56) {
+  request_id = other56.request_id;
+  attempt = other56.attempt;
+  outcome = other56.outcome;
+  reason = other56.reason;
+  detail = other56.detail;
+  retry_after_ms = other56.retry_after_ms;
+  config_version = other56.config_version;
+  __isset = other56.__isset;
   return *this;
 }
-Refusal& Refusal::operator=(Refusal&& other51) noexcept {
-  request_id = std::move(other51.request_id);
-  attempt = other51.attempt;
-  outcome = other51.outcome;
-  reason = other51.reason;
-  detail = std::move(other51.detail);
-  retry_after_ms = other51.retry_after_ms;
-  config_version = other51.config_version;
-  __isset = other51.__isset;
+Refusal& Refusal::operator=(Refusal&& other57) noexcept {
+  request_id = std::move(other57.request_id);
+  attempt = other57.attempt;
+  outcome = other57.outcome;
+  reason = other57.reason;
+  detail = std::move(other57.detail);
+  retry_after_ms = other57.retry_after_ms;
+  config_version = other57.config_version;
+  __isset = other57.__isset;
   return *this;
 }
 void Refusal::printTo(std::ostream& out) const {
@@ -2850,26 +2894,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancel::Cancel(const Cancel& other52) noexcept {
-  request_id = other52.request_id;
-  attempt = other52.attempt;
-  __isset = other52.__isset;
+Cancel::Cancel(const Cancel& other58) noexcept {
+  request_id = other58.request_id;
+  attempt = other58.attempt;
+  __isset = other58.__isset;
 }
-Cancel::Cancel(Cancel&& other53) noexcept {
-  request_id = std::move(other53.request_id);
-  attempt = other53.attempt;
-  __isset = other53.__isset;
+Cancel::Cancel(Cancel&& other59) noexcept {
+  request_id = std::move(other59.request_id);
+  attempt = other59.attempt;
+  __isset = other59.__isset;
 }
-Cancel& Cancel::operator=(const Cancel& other54) noexcept {
-  request_id = other54.request_id;
-  attempt = other54.attempt;
-  __isset = other54.__isset;
+Cancel& Cancel::operator=(const Cancel& other60) noexcept {
+  request_id = other60.request_id;
+  attempt = other60.attempt;
+  __isset = other60.__isset;
   return *this;
 }
-Cancel& Cancel::operator=(Cancel&& other55) noexcept {
-  request_id = std::move(other55.request_id);
-  attempt = other55.attempt;
-  __isset = other55.__isset;
+Cancel& Cancel::operator=(Cancel&& other61) noexcept {
+  request_id = std::move(other61.request_id);
+  attempt = other61.attempt;
+  __isset = other61.__isset;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -2946,9 +2990,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast56;
-          xfer += iprot->readI32(ecast56);
-          this->outcome = static_cast<Outcome::type>(ecast56);
+          int32_t ecast62;
+          xfer += iprot->readI32(ecast62);
+          this->outcome = static_cast<Outcome::type>(ecast62);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3009,34 +3053,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelResult::CancelResult(const CancelResult& other57) noexcept {
-  request_id = other57.request_id;
-  attempt = other57.attempt;
-  outcome = other57.outcome;
-  incarnation = other57.incarnation;
-  __isset = other57.__isset;
+CancelResult::CancelResult(const CancelResult& other63) noexcept {
+  request_id = other63.request_id;
+  attempt = other63.attempt;
+  outcome = other63.outcome;
+  incarnation = other63.incarnation;
+  __isset = other63.__isset;
 }
-CancelResult::CancelResult(CancelResult&& other58) noexcept {
-  request_id = std::move(other58.request_id);
-  attempt = other58.attempt;
-  outcome = other58.outcome;
-  incarnation = other58.incarnation;
-  __isset = other58.__isset;
+CancelResult::CancelResult(CancelResult&& other64) noexcept {
+  request_id = std::move(other64.request_id);
+  attempt = other64.attempt;
+  outcome = other64.outcome;
+  incarnation = other64.incarnation;
+  __isset = other64.__isset;
 }
-CancelResult& CancelResult::operator=(const CancelResult& other59) noexcept {
-  request_id = other59.request_id;
-  attempt = other59.attempt;
-  outcome = other59.outcome;
-  incarnation = other59.incarnation;
-  __isset = other59.__isset;
+CancelResult& CancelResult::operator=(const CancelResult& other65) noexcept {
+  request_id = other65.request_id;
+  attempt = other65.attempt;
+  outcome = other65.outcome;
+  incarnation = other65.incarnation;
+  __isset = other65.__isset;
   return *this;
 }
-CancelResult& CancelResult::operator=(CancelResult&& other60) noexcept {
-  request_id = std::move(other60.request_id);
-  attempt = other60.attempt;
-  outcome = other60.outcome;
-  incarnation = other60.incarnation;
-  __isset = other60.__isset;
+CancelResult& CancelResult::operator=(CancelResult&& other66) noexcept {
+  request_id = std::move(other66.request_id);
+  attempt = other66.attempt;
+  outcome = other66.outcome;
+  incarnation = other66.incarnation;
+  __isset = other66.__isset;
   return *this;
 }
 void CancelResult::printTo(std::ostream& out) const {
@@ -3159,30 +3203,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamCredit::StreamCredit(const StreamCredit& other61) noexcept {
-  request_id = other61.request_id;
-  attempt = other61.attempt;
-  position = other61.position;
-  __isset = other61.__isset;
+StreamCredit::StreamCredit(const StreamCredit& other67) noexcept {
+  request_id = other67.request_id;
+  attempt = other67.attempt;
+  position = other67.position;
+  __isset = other67.__isset;
 }
-StreamCredit::StreamCredit(StreamCredit&& other62) noexcept {
-  request_id = std::move(other62.request_id);
-  attempt = other62.attempt;
-  position = other62.position;
-  __isset = other62.__isset;
+StreamCredit::StreamCredit(StreamCredit&& other68) noexcept {
+  request_id = std::move(other68.request_id);
+  attempt = other68.attempt;
+  position = other68.position;
+  __isset = other68.__isset;
 }
-StreamCredit& StreamCredit::operator=(const StreamCredit& other63) noexcept {
-  request_id = other63.request_id;
-  attempt = other63.attempt;
-  position = other63.position;
-  __isset = other63.__isset;
+StreamCredit& StreamCredit::operator=(const StreamCredit& other69) noexcept {
+  request_id = other69.request_id;
+  attempt = other69.attempt;
+  position = other69.position;
+  __isset = other69.__isset;
   return *this;
 }
-StreamCredit& StreamCredit::operator=(StreamCredit&& other64) noexcept {
-  request_id = std::move(other64.request_id);
-  attempt = other64.attempt;
-  position = other64.position;
-  __isset = other64.__isset;
+StreamCredit& StreamCredit::operator=(StreamCredit&& other70) noexcept {
+  request_id = std::move(other70.request_id);
+  attempt = other70.attempt;
+  position = other70.position;
+  __isset = other70.__isset;
   return *this;
 }
 void StreamCredit::printTo(std::ostream& out) const {
@@ -3321,34 +3365,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Attach::Attach(const Attach& other65) {
-  request_id = other65.request_id;
-  organisation = other65.organisation;
-  position = other65.position;
-  attempt = other65.attempt;
-  __isset = other65.__isset;
+Attach::Attach(const Attach& other71) {
+  request_id = other71.request_id;
+  organisation = other71.organisation;
+  position = other71.position;
+  attempt = other71.attempt;
+  __isset = other71.__isset;
 }
-Attach::Attach(Attach&& other66) noexcept {
-  request_id = std::move(other66.request_id);
-  organisation = std::move(other66.organisation);
-  position = other66.position;
-  attempt = other66.attempt;
-  __isset = other66.__isset;
+Attach::Attach(Attach&& other72) noexcept {
+  request_id = std::move(other72.request_id);
+  organisation = std::move(other72.organisation);
+  position = other72.position;
+  attempt = other72.attempt;
+  __isset = other72.__isset;
 }
-Attach& Attach::operator=(const Attach& other67) {
-  request_id = other67.request_id;
-  organisation = other67.organisation;
-  position = other67.position;
-  attempt = other67.attempt;
-  __isset = other67.__isset;
+Attach& Attach::operator=(const Attach& other73) {
+  request_id = other73.request_id;
+  organisation = other73.organisation;
+  position = other73.position;
+  attempt = other73.attempt;
+  __isset = other73.__isset;
   return *this;
 }
-Attach& Attach::operator=(Attach&& other68) noexcept {
-  request_id = std::move(other68.request_id);
-  organisation = std::move(other68.organisation);
-  position = other68.position;
-  attempt = other68.attempt;
-  __isset = other68.__isset;
+Attach& Attach::operator=(Attach&& other74) noexcept {
+  request_id = std::move(other74.request_id);
+  organisation = std::move(other74.organisation);
+  position = other74.position;
+  attempt = other74.attempt;
+  __isset = other74.__isset;
   return *this;
 }
 void Attach::printTo(std::ostream& out) const {
@@ -3522,42 +3566,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigSection::ConfigSection(const ConfigSection& other69) {
-  name = other69.name;
-  content = other69.content;
-  removed = other69.removed;
-  same_prefix = other69.same_prefix;
-  same_suffix = other69.same_suffix;
-  checksum = other69.checksum;
-  __isset = other69.__isset;
-}
-ConfigSection::ConfigSection(ConfigSection&& other70) noexcept {
-  name = std::move(other70.name);
-  content = std::move(other70.content);
-  removed = other70.removed;
-  same_prefix = other70.same_prefix;
-  same_suffix = other70.same_suffix;
-  checksum = other70.checksum;
-  __isset = other70.__isset;
-}
-ConfigSection& ConfigSection::operator=(const ConfigSection& other71) {
-  name = other71.name;
-  content = other71.content;
-  removed = other71.removed;
-  same_prefix = other71.same_prefix;
-  same_suffix = other71.same_suffix;
-  checksum = other71.checksum;
-  __isset = other71.__isset;
+ConfigSection::ConfigSection(const ConfigSection& other75) {
+  name = other75.name;
+  content = other75.content;
+  removed = other75.removed;
+  same_prefix = other75.same_prefix;
+  same_suffix = other75.same_suffix;
+  checksum = other75.checksum;
+  __isset = other75.__isset;
+}
+ConfigSection::ConfigSection(ConfigSection&& other76) noexcept {
+  name = std::move(other76.name);
+  content = std::move(other76.content);
+  removed = other76.removed;
+  same_prefix = other76.same_prefix;
+  same_suffix = other76.same_suffix;
+  checksum = other76.checksum;
+  __isset = other76.__isset;
+}
+ConfigSection& ConfigSection::operator=(const ConfigSection& other77) {
+  name = other77.name;
+  content = other77.content;
+  removed = other77.removed;
+  same_prefix = other77.same_prefix;
+  same_suffix = other77.same_suffix;
+  checksum = other77.checksum;
+  __isset = other77.__isset;
   return *this;
 }
-ConfigSection& ConfigSection::operator=(ConfigSection&& other72) noexcept {
-  name = std::move(other72.name);
-  content = std::move(other72.content);
-  removed = other72.removed;
-  same_prefix = other72.same_prefix;
-  same_suffix = other72.same_suffix;
-  checksum = other72.checksum;
-  __isset = other72.__isset;
+ConfigSection& ConfigSection::operator=(ConfigSection&& other78) noexcept {
+  name = std::move(other78.name);
+  content = std::move(other78.content);
+  removed = other78.removed;
+  same_prefix = other78.same_prefix;
+  same_suffix = other78.same_suffix;
+  checksum = other78.checksum;
+  __isset = other78.__isset;
   return *this;
 }
 void ConfigSection::printTo(std::ostream& out) const {
@@ -3672,14 +3716,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sections.clear();
-            uint32_t _size73;
-            ::apache::thrift::protocol::TType _etype76;
-            xfer += iprot->readListBegin(_etype76, _size73);
-            this->sections.resize(_size73);
-            uint32_t _i77;
-            for (_i77 = 0; _i77 < _size73; ++_i77)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->sections.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += this->sections[_i77].read(iprot);
+              xfer += this->sections[_i83].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3728,10 +3772,10 @@
   xfer += oprot->writeFieldBegin("sections", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sections.size()));
-    std::vector<ConfigSection> ::const_iterator _iter78;
-    for (_iter78 = this->sections.begin(); _iter78 != this->sections.end(); ++_iter78)
+    std::vector<ConfigSection> ::const_iterator _iter84;
+    for (_iter84 = this->sections.begin(); _iter84 != this->sections.end(); ++_iter84)
     {
-      xfer += (*_iter78).write(oprot);
+      xfer += (*_iter84).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3753,42 +3797,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigChange::ConfigChange(const ConfigChange& other79) {
-  version = other79.version;
-  change_id = other79.change_id;
-  author = other79.author;
-  at_ms = other79.at_ms;
-  answers_digest = other79.answers_digest;
-  sections = other79.sections;
-  __isset = other79.__isset;
-}
-ConfigChange::ConfigChange(ConfigChange&& other80) noexcept {
-  version = other80.version;
-  change_id = std::move(other80.change_id);
-  author = std::move(other80.author);
-  at_ms = other80.at_ms;
-  answers_digest = std::move(other80.answers_digest);
-  sections = std::move(other80.sections);
-  __isset = other80.__isset;
-}
-ConfigChange& ConfigChange::operator=(const ConfigChange& other81) {
-  version = other81.version;
-  change_id = other81.change_id;
-  author = other81.author;
-  at_ms = other81.at_ms;
-  answers_digest = other81.answers_digest;
-  sections = other81.sections;
-  __isset = other81.__isset;
+ConfigChange::ConfigChange(const ConfigChange& other85) {
+  version = other85.version;
+  change_id = other85.change_id;
+  author = other85.author;
+  at_ms = other85.at_ms;
+  answers_digest = other85.answers_digest;
+  sections = other85.sections;
+  __isset = other85.__isset;
+}
+ConfigChange::ConfigChange(ConfigChange&& other86) noexcept {
+  version = other86.version;
+  change_id = std::move(other86.change_id);
+  author = std::move(other86.author);
+  at_ms = other86.at_ms;
+  answers_digest = std::move(other86.answers_digest);
+  sections = std::move(other86.sections);
+  __isset = other86.__isset;
+}
+ConfigChange& ConfigChange::operator=(const ConfigChange& other87) {
+  version = other87.version;
+  change_id = other87.change_id;
+  author = other87.author;
+  at_ms = other87.at_ms;
+  answers_digest = other87.answers_digest;
+  sections = other87.sections;
+  __isset = other87.__isset;
   return *this;
 }
-ConfigChange& ConfigChange::operator=(ConfigChange&& other82) noexcept {
-  version = other82.version;
-  change_id = std::move(other82.change_id);
-  author = std::move(other82.author);
-  at_ms = other82.at_ms;
-  answers_digest = std::move(other82.answers_digest);
-  sections = std::move(other82.sections);
-  __isset = other82.__isset;
+ConfigChange& ConfigChange::operator=(ConfigChange&& other88) noexcept {
+  version = other88.version;
+  change_id = std::move(other88.change_id);
+  author = std::move(other88.author);
+  at_ms = other88.at_ms;
+  answers_digest = std::move(other88.answers_digest);
+  sections = std::move(other88.sections);
+  __isset = other88.__isset;
   return *this;
 }
 void ConfigChange::printTo(std::ostream& out) const {
@@ -3896,26 +3940,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigDigest::ConfigDigest(const ConfigDigest& other83) {
-  version = other83.version;
-  instance = other83.instance;
-  __isset = other83.__isset;
+ConfigDigest::ConfigDigest(const ConfigDigest& other89) {
+  version = other89.version;
+  instance = other89.instance;
+  __isset = other89.__isset;
 }
-ConfigDigest::ConfigDigest(ConfigDigest&& other84) noexcept {
-  version = other84.version;
-  instance = std::move(other84.instance);
-  __isset = other84.__isset;
+ConfigDigest::ConfigDigest(ConfigDigest&& other90) noexcept {
+  version = other90.version;
+  instance = std::move(other90.instance);
+  __isset = other90.__isset;
 }
-ConfigDigest& ConfigDigest::operator=(const ConfigDigest& other85) {
-  version = other85.version;
-  instance = other85.instance;
-  __isset = other85.__isset;
+ConfigDigest& ConfigDigest::operator=(const ConfigDigest& other91) {
+  version = other91.version;
+  instance = other91.instance;
+  __isset = other91.__isset;
   return *this;
 }
-ConfigDigest& ConfigDigest::operator=(ConfigDigest&& other86) noexcept {
-  version = other86.version;
-  instance = std::move(other86.instance);
-  __isset = other86.__isset;
+ConfigDigest& ConfigDigest::operator=(ConfigDigest&& other92) noexcept {
+  version = other92.version;
+  instance = std::move(other92.instance);
+  __isset = other92.__isset;
   return *this;
 }
 void ConfigDigest::printTo(std::ostream& out) const {
@@ -4002,22 +4046,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPull::ConfigPull(const ConfigPull& other87) noexcept {
-  version = other87.version;
-  __isset = other87.__isset;
+ConfigPull::ConfigPull(const ConfigPull& other93) noexcept {
+  version = other93.version;
+  __isset = other93.__isset;
 }
-ConfigPull::ConfigPull(ConfigPull&& other88) noexcept {
-  version = other88.version;
-  __isset = other88.__isset;
+ConfigPull::ConfigPull(ConfigPull&& other94) noexcept {
+  version = other94.version;
+  __isset = other94.__isset;
 }
-ConfigPull& ConfigPull::operator=(const ConfigPull& other89) noexcept {
-  version = other89.version;
-  __isset = other89.__isset;
+ConfigPull& ConfigPull::operator=(const ConfigPull& other95) noexcept {
+  version = other95.version;
+  __isset = other95.__isset;
   return *this;
 }
-ConfigPull& ConfigPull::operator=(ConfigPull&& other90) noexcept {
-  version = other90.version;
-  __isset = other90.__isset;
+ConfigPull& ConfigPull::operator=(ConfigPull&& other96) noexcept {
+  version = other96.version;
+  __isset = other96.__isset;
   return *this;
 }
 void ConfigPull::printTo(std::ostream& out) const {
@@ -4087,14 +4131,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size91;
-            ::apache::thrift::protocol::TType _etype94;
-            xfer += iprot->readListBegin(_etype94, _size91);
-            this->changes.resize(_size91);
-            uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->changes.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += this->changes[_i95].read(iprot);
+              xfer += this->changes[_i101].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4143,10 +4187,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<ConfigChange> ::const_iterator _iter96;
-    for (_iter96 = this->changes.begin(); _iter96 != this->changes.end(); ++_iter96)
+    std::vector<ConfigChange> ::const_iterator _iter102;
+    for (_iter102 = this->changes.begin(); _iter102 != this->changes.end(); ++_iter102)
     {
-      xfer += (*_iter96).write(oprot);
+      xfer += (*_iter102).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4174,34 +4218,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other97) {
-  snapshot = other97.snapshot;
-  changes = other97.changes;
-  piece = other97.piece;
-  pieces = other97.pieces;
-  __isset = other97.__isset;
-}
-ConfigPush::ConfigPush(ConfigPush&& other98) noexcept {
-  snapshot = other98.snapshot;
-  changes = std::move(other98.changes);
-  piece = other98.piece;
-  pieces = other98.pieces;
-  __isset = other98.__isset;
-}
-ConfigPush& ConfigPush::operator=(const ConfigPush& other99) {
-  snapshot = other99.snapshot;
-  changes = other99.changes;
-  piece = other99.piece;
-  pieces = other99.pieces;
-  __isset = other99.__isset;
+ConfigPush::ConfigPush(const ConfigPush& other103) {
+  snapshot = other103.snapshot;
+  changes = other103.changes;
+  piece = other103.piece;
+  pieces = other103.pieces;
+  __isset = other103.__isset;
+}
+ConfigPush::ConfigPush(ConfigPush&& other104) noexcept {
+  snapshot = other104.snapshot;
+  changes = std::move(other104.changes);
+  piece = other104.piece;
+  pieces = other104.pieces;
+  __isset = other104.__isset;
+}
+ConfigPush& ConfigPush::operator=(const ConfigPush& other105) {
+  snapshot = other105.snapshot;
+  changes = other105.changes;
+  piece = other105.piece;
+  pieces = other105.pieces;
+  __isset = other105.__isset;
   return *this;
 }
-ConfigPush& ConfigPush::operator=(ConfigPush&& other100) noexcept {
-  snapshot = other100.snapshot;
-  changes = std::move(other100.changes);
-  piece = other100.piece;
-  pieces = other100.pieces;
-  __isset = other100.__isset;
+ConfigPush& ConfigPush::operator=(ConfigPush&& other106) noexcept {
+  snapshot = other106.snapshot;
+  changes = std::move(other106.changes);
+  piece = other106.piece;
+  pieces = other106.pieces;
+  __isset = other106.__isset;
   return *this;
 }
 void ConfigPush::printTo(std::ostream& out) const {
@@ -4300,9 +4344,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast101;
-          xfer += iprot->readI32(ecast101);
-          this->role = static_cast<Role::type>(ecast101);
+          int32_t ecast107;
+          xfer += iprot->readI32(ecast107);
+          this->role = static_cast<Role::type>(ecast107);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4350,9 +4394,9 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast102;
-          xfer += iprot->readI32(ecast102);
-          this->state = static_cast<MemberState::type>(ecast102);
+          int32_t ecast108;
+          xfer += iprot->readI32(ecast108);
+          this->state = static_cast<MemberState::type>(ecast108);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4464,62 +4508,62 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other103) {
-  instance = other103.instance;
-  role = other103.role;
-  data_centre = other103.data_centre;
-  address = other103.address;
-  port = other103.port;
-  incarnation = other103.incarnation;
-  revision = other103.revision;
-  state = other103.state;
-  target = other103.target;
-  weights_version = other103.weights_version;
-  config_version = other103.config_version;
-  __isset = other103.__isset;
-}
-Member::Member(Member&& other104) noexcept {
-  instance = std::move(other104.instance);
-  role = other104.role;
-  data_centre = std::move(other104.data_centre);
-  address = std::move(other104.address);
-  port = other104.port;
-  incarnation = other104.incarnation;
-  revision = other104.revision;
-  state = other104.state;
-  target = std::move(other104.target);
-  weights_version = other104.weights_version;
-  config_version = other104.config_version;
-  __isset = other104.__isset;
-}
-Member& Member::operator=(const Member& other105) {
-  instance = other105.instance;
-  role = other105.role;
-  data_centre = other105.data_centre;
-  address = other105.address;
-  port = other105.port;
-  incarnation = other105.incarnation;
-  revision = other105.revision;
-  state = other105.state;
-  target = other105.target;
-  weights_version = other105.weights_version;
-  config_version = other105.config_version;
-  __isset = other105.__isset;
+Member::Member(const Member& other109) {
+  instance = other109.instance;
+  role = other109.role;
+  data_centre = other109.data_centre;
+  address = other109.address;
+  port = other109.port;
+  incarnation = other109.incarnation;
+  revision = other109.revision;
+  state = other109.state;
+  target = other109.target;
+  weights_version = other109.weights_version;
+  config_version = other109.config_version;
+  __isset = other109.__isset;
+}
+Member::Member(Member&& other110) noexcept {
+  instance = std::move(other110.instance);
+  role = other110.role;
+  data_centre = std::move(other110.data_centre);
+  address = std::move(other110.address);
+  port = other110.port;
+  incarnation = other110.incarnation;
+  revision = other110.revision;
+  state = other110.state;
+  target = std::move(other110.target);
+  weights_version = other110.weights_version;
+  config_version = other110.config_version;
+  __isset = other110.__isset;
+}
+Member& Member::operator=(const Member& other111) {
+  instance = other111.instance;
+  role = other111.role;
+  data_centre = other111.data_centre;
+  address = other111.address;
+  port = other111.port;
+  incarnation = other111.incarnation;
+  revision = other111.revision;
+  state = other111.state;
+  target = other111.target;
+  weights_version = other111.weights_version;
+  config_version = other111.config_version;
+  __isset = other111.__isset;
   return *this;
 }
-Member& Member::operator=(Member&& other106) noexcept {
-  instance = std::move(other106.instance);
-  role = other106.role;
-  data_centre = std::move(other106.data_centre);
-  address = std::move(other106.address);
-  port = other106.port;
-  incarnation = other106.incarnation;
-  revision = other106.revision;
-  state = other106.state;
-  target = std::move(other106.target);
-  weights_version = other106.weights_version;
-  config_version = other106.config_version;
-  __isset = other106.__isset;
+Member& Member::operator=(Member&& other112) noexcept {
+  instance = std::move(other112.instance);
+  role = other112.role;
+  data_centre = std::move(other112.data_centre);
+  address = std::move(other112.address);
+  port = other112.port;
+  incarnation = other112.incarnation;
+  revision = other112.revision;
+  state = other112.state;
+  target = std::move(other112.target);
+  weights_version = other112.weights_version;
+  config_version = other112.config_version;
+  __isset = other112.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -4579,14 +4623,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size107;
-            ::apache::thrift::protocol::TType _etype110;
-            xfer += iprot->readListBegin(_etype110, _size107);
-            this->members.resize(_size107);
-            uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->members.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += this->members[_i111].read(iprot);
+              xfer += this->members[_i117].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4615,10 +4659,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter112;
-    for (_iter112 = this->members.begin(); _iter112 != this->members.end(); ++_iter112)
+    std::vector<Member> ::const_iterator _iter118;
+    for (_iter118 = this->members.begin(); _iter118 != this->members.end(); ++_iter118)
     {
-      xfer += (*_iter112).write(oprot);
+      xfer += (*_iter118).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4635,22 +4679,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberUpdate::MemberUpdate(const MemberUpdate& other113) {
-  members = other113.members;
-  __isset = other113.__isset;
+MemberUpdate::MemberUpdate(const MemberUpdate& other119) {
+  members = other119.members;
+  __isset = other119.__isset;
 }
-MemberUpdate::MemberUpdate(MemberUpdate&& other114) noexcept {
-  members = std::move(other114.members);
-  __isset = other114.__isset;
+MemberUpdate::MemberUpdate(MemberUpdate&& other120) noexcept {
+  members = std::move(other120.members);
+  __isset = other120.__isset;
 }
-MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other115) {
-  members = other115.members;
-  __isset = other115.__isset;
+MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other121) {
+  members = other121.members;
+  __isset = other121.__isset;
   return *this;
 }
-MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other116) noexcept {
-  members = std::move(other116.members);
-  __isset = other116.__isset;
+MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other122) noexcept {
+  members = std::move(other122.members);
+  __isset = other122.__isset;
   return *this;
 }
 void MemberUpdate::printTo(std::ostream& out) const {
@@ -4770,30 +4814,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ServiceUse::ServiceUse(const ServiceUse& other117) {
-  organisation = other117.organisation;
-  cost_tokens = other117.cost_tokens;
-  backlogged = other117.backlogged;
-  __isset = other117.__isset;
+ServiceUse::ServiceUse(const ServiceUse& other123) {
+  organisation = other123.organisation;
+  cost_tokens = other123.cost_tokens;
+  backlogged = other123.backlogged;
+  __isset = other123.__isset;
 }
-ServiceUse::ServiceUse(ServiceUse&& other118) noexcept {
-  organisation = std::move(other118.organisation);
-  cost_tokens = other118.cost_tokens;
-  backlogged = other118.backlogged;
-  __isset = other118.__isset;
+ServiceUse::ServiceUse(ServiceUse&& other124) noexcept {
+  organisation = std::move(other124.organisation);
+  cost_tokens = other124.cost_tokens;
+  backlogged = other124.backlogged;
+  __isset = other124.__isset;
 }
-ServiceUse& ServiceUse::operator=(const ServiceUse& other119) {
-  organisation = other119.organisation;
-  cost_tokens = other119.cost_tokens;
-  backlogged = other119.backlogged;
-  __isset = other119.__isset;
+ServiceUse& ServiceUse::operator=(const ServiceUse& other125) {
+  organisation = other125.organisation;
+  cost_tokens = other125.cost_tokens;
+  backlogged = other125.backlogged;
+  __isset = other125.__isset;
   return *this;
 }
-ServiceUse& ServiceUse::operator=(ServiceUse&& other120) noexcept {
-  organisation = std::move(other120.organisation);
-  cost_tokens = other120.cost_tokens;
-  backlogged = other120.backlogged;
-  __isset = other120.__isset;
+ServiceUse& ServiceUse::operator=(ServiceUse&& other126) noexcept {
+  organisation = std::move(other126.organisation);
+  cost_tokens = other126.cost_tokens;
+  backlogged = other126.backlogged;
+  __isset = other126.__isset;
   return *this;
 }
 void ServiceUse::printTo(std::ostream& out) const {
@@ -4873,14 +4917,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->uses.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->uses.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
             {
-              xfer += this->uses[_i125].read(iprot);
+              xfer += this->uses[_i131].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4891,9 +4935,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast126;
-          xfer += iprot->readI32(ecast126);
-          this->stage = static_cast<ShareStage::type>(ecast126);
+          int32_t ecast132;
+          xfer += iprot->readI32(ecast132);
+          this->stage = static_cast<ShareStage::type>(ecast132);
           this->__isset.stage = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4927,10 +4971,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<ServiceUse> ::const_iterator _iter127;
-    for (_iter127 = this->uses.begin(); _iter127 != this->uses.end(); ++_iter127)
+    std::vector<ServiceUse> ::const_iterator _iter133;
+    for (_iter133 = this->uses.begin(); _iter133 != this->uses.end(); ++_iter133)
     {
-      xfer += (*_iter127).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4954,34 +4998,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ShareReport::ShareReport(const ShareReport& other128) {
-  instance = other128.instance;
-  period = other128.period;
-  uses = other128.uses;
-  stage = other128.stage;
-  __isset = other128.__isset;
-}
-ShareReport::ShareReport(ShareReport&& other129) noexcept {
-  instance = std::move(other129.instance);
-  period = other129.period;
-  uses = std::move(other129.uses);
-  stage = other129.stage;
-  __isset = other129.__isset;
-}
-ShareReport& ShareReport::operator=(const ShareReport& other130) {
-  instance = other130.instance;
-  period = other130.period;
-  uses = other130.uses;
-  stage = other130.stage;
-  __isset = other130.__isset;
+ShareReport::ShareReport(const ShareReport& other134) {
+  instance = other134.instance;
+  period = other134.period;
+  uses = other134.uses;
+  stage = other134.stage;
+  __isset = other134.__isset;
+}
+ShareReport::ShareReport(ShareReport&& other135) noexcept {
+  instance = std::move(other135.instance);
+  period = other135.period;
+  uses = std::move(other135.uses);
+  stage = other135.stage;
+  __isset = other135.__isset;
+}
+ShareReport& ShareReport::operator=(const ShareReport& other136) {
+  instance = other136.instance;
+  period = other136.period;
+  uses = other136.uses;
+  stage = other136.stage;
+  __isset = other136.__isset;
   return *this;
 }
-ShareReport& ShareReport::operator=(ShareReport&& other131) noexcept {
-  instance = std::move(other131.instance);
-  period = other131.period;
-  uses = std::move(other131.uses);
-  stage = other131.stage;
-  __isset = other131.__isset;
+ShareReport& ShareReport::operator=(ShareReport&& other137) noexcept {
+  instance = std::move(other137.instance);
+  period = other137.period;
+  uses = std::move(other137.uses);
+  stage = other137.stage;
+  __isset = other137.__isset;
   return *this;
 }
 void ShareReport::printTo(std::ostream& out) const {
@@ -5084,9 +5128,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast132;
-          xfer += iprot->readI32(ecast132);
-          this->kind = static_cast<OrderKind::type>(ecast132);
+          int32_t ecast138;
+          xfer += iprot->readI32(ecast138);
+          this->kind = static_cast<OrderKind::type>(ecast138);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5191,50 +5235,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Order::Order(const Order& other133) {
-  order_id = other133.order_id;
-  lease = other133.lease;
-  fencing_token = other133.fencing_token;
-  kind = other133.kind;
-  model = other133.model;
-  adapter = other133.adapter;
-  weights_version = other133.weights_version;
-  role = other133.role;
-  __isset = other133.__isset;
-}
-Order::Order(Order&& other134) noexcept {
-  order_id = std::move(other134.order_id);
-  lease = std::move(other134.lease);
-  fencing_token = other134.fencing_token;
-  kind = other134.kind;
-  model = std::move(other134.model);
-  adapter = std::move(other134.adapter);
-  weights_version = other134.weights_version;
-  role = std::move(other134.role);
-  __isset = other134.__isset;
+Order::Order(const Order& other139) {
+  order_id = other139.order_id;
+  lease = other139.lease;
+  fencing_token = other139.fencing_token;
+  kind = other139.kind;
+  model = other139.model;
+  adapter = other139.adapter;
+  weights_version = other139.weights_version;
+  role = other139.role;
+  __isset = other139.__isset;
 }
-Order& Order::operator=(const Order& other135) {
-  order_id = other135.order_id;
-  lease = other135.lease;
-  fencing_token = other135.fencing_token;
-  kind = other135.kind;
-  model = other135.model;
-  adapter = other135.adapter;
-  weights_version = other135.weights_version;
-  role = other135.role;
-  __isset = other135.__isset;
+Order::Order(Order&& other140) noexcept {
+  order_id = std::move(other140.order_id);
+  lease = std::move(other140.lease);
+  fencing_token = other140.fencing_token;
+  kind = other140.kind;
+  model = std::move(other140.model);
+  adapter = std::move(other140.adapter);
+  weights_version = other140.weights_version;
+  role = std::move(other140.role);
+  __isset = other140.__isset;
+}
+Order& Order::operator=(const Order& other141) {
+  order_id = other141.order_id;
+  lease = other141.lease;
+  fencing_token = other141.fencing_token;
+  kind = other141.kind;
+  model = other141.model;
+  adapter = other141.adapter;
+  weights_version = other141.weights_version;
+  role = other141.role;
+  __isset = other141.__isset;
   return *this;
 }
-Order& Order::operator=(Order&& other136) noexcept {
-  order_id = std::move(other136.order_id);
-  lease = std::move(other136.lease);
-  fencing_token = other136.fencing_token;
-  kind = other136.kind;
-  model = std::move(other136.model);
-  adapter = std::move(other136.adapter);
-  weights_version = other136.weights_version;
-  role = std::move(other136.role);
-  __isset = other136.__isset;
+Order& Order::operator=(Order&& other142) noexcept {
+  order_id = std::move(other142.order_id);
+  lease = std::move(other142.lease);
+  fencing_token = other142.fencing_token;
+  kind = other142.kind;
+  model = std::move(other142.model);
+  adapter = std::move(other142.adapter);
+  weights_version = other142.weights_version;
+  role = std::move(other142.role);
+  __isset = other142.__isset;
   return *this;
 }
 void Order::printTo(std::ostream& out) const {
@@ -5378,34 +5422,34 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderResult::OrderResult(const OrderResult& other137) {
-  order_id = other137.order_id;
-  accepted = other137.accepted;
-  highest_token = other137.highest_token;
-  detail = other137.detail;
-  __isset = other137.__isset;
+OrderResult::OrderResult(const OrderResult& other143) {
+  order_id = other143.order_id;
+  accepted = other143.accepted;
+  highest_token = other143.highest_token;
+  detail = other143.detail;
+  __isset = other143.__isset;
 }
-OrderResult::OrderResult(OrderResult&& other138) noexcept {
-  order_id = std::move(other138.order_id);
-  accepted = other138.accepted;
-  highest_token = other138.highest_token;
-  detail = std::move(other138.detail);
-  __isset = other138.__isset;
+OrderResult::OrderResult(OrderResult&& other144) noexcept {
+  order_id = std::move(other144.order_id);
+  accepted = other144.accepted;
+  highest_token = other144.highest_token;
+  detail = std::move(other144.detail);
+  __isset = other144.__isset;
 }
-OrderResult& OrderResult::operator=(const OrderResult& other139) {
-  order_id = other139.order_id;
-  accepted = other139.accepted;
-  highest_token = other139.highest_token;
-  detail = other139.detail;
-  __isset = other139.__isset;
+OrderResult& OrderResult::operator=(const OrderResult& other145) {
+  order_id = other145.order_id;
+  accepted = other145.accepted;
+  highest_token = other145.highest_token;
+  detail = other145.detail;
+  __isset = other145.__isset;
   return *this;
 }
-OrderResult& OrderResult::operator=(OrderResult&& other140) noexcept {
-  order_id = std::move(other140.order_id);
-  accepted = other140.accepted;
-  highest_token = other140.highest_token;
-  detail = std::move(other140.detail);
-  __isset = other140.__isset;
+OrderResult& OrderResult::operator=(OrderResult&& other146) noexcept {
+  order_id = std::move(other146.order_id);
+  accepted = other146.accepted;
+  highest_token = other146.highest_token;
+  detail = std::move(other146.detail);
+  __isset = other146.__isset;
   return *this;
 }
 void OrderResult::printTo(std::ostream& out) const {
@@ -5664,62 +5708,62 @@
   swap(a.__isset, b.__isset);
 }
 
-KindRules::KindRules(const KindRules& other141) {
-  name = other141.name;
-  repeatable = other141.repeatable;
-  wait_limit_ms = other141.wait_limit_ms;
-  share = other141.share;
-  target = other141.target;
-  second_attempt = other141.second_attempt;
-  prompt_tokens = other141.prompt_tokens;
-  output_tokens = other141.output_tokens;
-  first_token_objective_ms = other141.first_token_objective_ms;
-  token_gap_objective_ms = other141.token_gap_objective_ms;
-  objective_ratio = other141.objective_ratio;
-  __isset = other141.__isset;
-}
-KindRules::KindRules(KindRules&& other142) noexcept {
-  name = std::move(other142.name);
-  repeatable = other142.repeatable;
-  wait_limit_ms = other142.wait_limit_ms;
-  share = other142.share;
-  target = std::move(other142.target);
-  second_attempt = other142.second_attempt;
-  prompt_tokens = other142.prompt_tokens;
-  output_tokens = other142.output_tokens;
-  first_token_objective_ms = other142.first_token_objective_ms;
-  token_gap_objective_ms = other142.token_gap_objective_ms;
-  objective_ratio = other142.objective_ratio;
-  __isset = other142.__isset;
-}
-KindRules& KindRules::operator=(const KindRules& other143) {
-  name = other143.name;
-  repeatable = other143.repeatable;
-  wait_limit_ms = other143.wait_limit_ms;
-  share = other143.share;
-  target = other143.target;
-  second_attempt = other143.second_attempt;
-  prompt_tokens = other143.prompt_tokens;
-  output_tokens = other143.output_tokens;
-  first_token_objective_ms = other143.first_token_objective_ms;
-  token_gap_objective_ms = other143.token_gap_objective_ms;
-  objective_ratio = other143.objective_ratio;
-  __isset = other143.__isset;
+KindRules::KindRules(const KindRules& other147) {
+  name = other147.name;
+  repeatable = other147.repeatable;
+  wait_limit_ms = other147.wait_limit_ms;
+  share = other147.share;
+  target = other147.target;
+  second_attempt = other147.second_attempt;
+  prompt_tokens = other147.prompt_tokens;
+  output_tokens = other147.output_tokens;
+  first_token_objective_ms = other147.first_token_objective_ms;
+  token_gap_objective_ms = other147.token_gap_objective_ms;
+  objective_ratio = other147.objective_ratio;
+  __isset = other147.__isset;
+}
+KindRules::KindRules(KindRules&& other148) noexcept {
+  name = std::move(other148.name);
+  repeatable = other148.repeatable;
+  wait_limit_ms = other148.wait_limit_ms;
+  share = other148.share;
+  target = std::move(other148.target);
+  second_attempt = other148.second_attempt;
+  prompt_tokens = other148.prompt_tokens;
+  output_tokens = other148.output_tokens;
+  first_token_objective_ms = other148.first_token_objective_ms;
+  token_gap_objective_ms = other148.token_gap_objective_ms;
+  objective_ratio = other148.objective_ratio;
+  __isset = other148.__isset;
+}
+KindRules& KindRules::operator=(const KindRules& other149) {
+  name = other149.name;
+  repeatable = other149.repeatable;
+  wait_limit_ms = other149.wait_limit_ms;
+  share = other149.share;
+  target = other149.target;
+  second_attempt = other149.second_attempt;
+  prompt_tokens = other149.prompt_tokens;
+  output_tokens = other149.output_tokens;
+  first_token_objective_ms = other149.first_token_objective_ms;
+  token_gap_objective_ms = other149.token_gap_objective_ms;
+  objective_ratio = other149.objective_ratio;
+  __isset = other149.__isset;
   return *this;
 }
-KindRules& KindRules::operator=(KindRules&& other144) noexcept {
-  name = std::move(other144.name);
-  repeatable = other144.repeatable;
-  wait_limit_ms = other144.wait_limit_ms;
-  share = other144.share;
-  target = std::move(other144.target);
-  second_attempt = other144.second_attempt;
-  prompt_tokens = other144.prompt_tokens;
-  output_tokens = other144.output_tokens;
-  first_token_objective_ms = other144.first_token_objective_ms;
-  token_gap_objective_ms = other144.token_gap_objective_ms;
-  objective_ratio = other144.objective_ratio;
-  __isset = other144.__isset;
+KindRules& KindRules::operator=(KindRules&& other150) noexcept {
+  name = std::move(other150.name);
+  repeatable = other150.repeatable;
+  wait_limit_ms = other150.wait_limit_ms;
+  share = other150.share;
+  target = std::move(other150.target);
+  second_attempt = other150.second_attempt;
+  prompt_tokens = other150.prompt_tokens;
+  output_tokens = other150.output_tokens;
+  first_token_objective_ms = other150.first_token_objective_ms;
+  token_gap_objective_ms = other150.token_gap_objective_ms;
+  objective_ratio = other150.objective_ratio;
+  __isset = other150.__isset;
   return *this;
 }
 void KindRules::printTo(std::ostream& out) const {
@@ -5811,14 +5855,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->key_digests.clear();
-            uint32_t _size145;
-            ::apache::thrift::protocol::TType _etype148;
-            xfer += iprot->readListBegin(_etype148, _size145);
-            this->key_digests.resize(_size145);
-            uint32_t _i149;
-            for (_i149 = 0; _i149 < _size145; ++_i149)
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->key_digests.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
             {
-              xfer += iprot->readString(this->key_digests[_i149]);
+              xfer += iprot->readString(this->key_digests[_i155]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5839,14 +5883,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->kinds.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _etype153;
-            xfer += iprot->readListBegin(_etype153, _size150);
-            this->kinds.resize(_size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->kinds.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += this->kinds[_i154].read(iprot);
+              xfer += this->kinds[_i160].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5883,10 +5927,10 @@
   xfer += oprot->writeFieldBegin("key_digests", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->key_digests.size()));
-    std::vector<std::string> ::const_iterator _iter155;
-    for (_iter155 = this->key_digests.begin(); _iter155 != this->key_digests.end(); ++_iter155)
+    std::vector<std::string> ::const_iterator _iter161;
+    for (_iter161 = this->key_digests.begin(); _iter161 != this->key_digests.end(); ++_iter161)
     {
-      xfer += oprot->writeString((*_iter155));
+      xfer += oprot->writeString((*_iter161));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5899,10 +5943,10 @@
   xfer += oprot->writeFieldBegin("kinds", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->kinds.size()));
-    std::vector<KindRules> ::const_iterator _iter156;
-    for (_iter156 = this->kinds.begin(); _iter156 != this->kinds.end(); ++_iter156)
+    std::vector<KindRules> ::const_iterator _iter162;
+    for (_iter162 = this->kinds.begin(); _iter162 != this->kinds.end(); ++_iter162)
     {
-      xfer += (*_iter156).write(oprot);
+      xfer += (*_iter162).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5923,38 +5967,38 @@
   swap(a.__isset, b.__isset);
 }
 
-OrganisationRules::OrganisationRules(const OrganisationRules& other157) {
-  name = other157.name;
-  share = other157.share;
-  key_digests = other157.key_digests;
-  default_kind = other157.default_kind;
-  kinds = other157.kinds;
-  __isset = other157.__isset;
-}
-OrganisationRules::OrganisationRules(OrganisationRules&& other158) noexcept {
-  name = std::move(other158.name);
-  share = other158.share;
-  key_digests = std::move(other158.key_digests);
-  default_kind = std::move(other158.default_kind);
-  kinds = std::move(other158.kinds);
-  __isset = other158.__isset;
-}
-OrganisationRules& OrganisationRules::operator=(const OrganisationRules& other159) {
-  name = other159.name;
-  share = other159.share;
-  key_digests = other159.key_digests;
-  default_kind = other159.default_kind;
-  kinds = other159.kinds;
-  __isset = other159.__isset;
+OrganisationRules::OrganisationRules(const OrganisationRules& other163) {
+  name = other163.name;
+  share = other163.share;
+  key_digests = other163.key_digests;
+  default_kind = other163.default_kind;
+  kinds = other163.kinds;
+  __isset = other163.__isset;
+}
+OrganisationRules::OrganisationRules(OrganisationRules&& other164) noexcept {
+  name = std::move(other164.name);
+  share = other164.share;
+  key_digests = std::move(other164.key_digests);
+  default_kind = std::move(other164.default_kind);
+  kinds = std::move(other164.kinds);
+  __isset = other164.__isset;
+}
+OrganisationRules& OrganisationRules::operator=(const OrganisationRules& other165) {
+  name = other165.name;
+  share = other165.share;
+  key_digests = other165.key_digests;
+  default_kind = other165.default_kind;
+  kinds = other165.kinds;
+  __isset = other165.__isset;
   return *this;
 }
-OrganisationRules& OrganisationRules::operator=(OrganisationRules&& other160) noexcept {
-  name = std::move(other160.name);
-  share = other160.share;
-  key_digests = std::move(other160.key_digests);
-  default_kind = std::move(other160.default_kind);
-  kinds = std::move(other160.kinds);
-  __isset = other160.__isset;
+OrganisationRules& OrganisationRules::operator=(OrganisationRules&& other166) noexcept {
+  name = std::move(other166.name);
+  share = other166.share;
+  key_digests = std::move(other166.key_digests);
+  default_kind = std::move(other166.default_kind);
+  kinds = std::move(other166.kinds);
+  __isset = other166.__isset;
   return *this;
 }
 void OrganisationRules::printTo(std::ostream& out) const {
@@ -6112,38 +6156,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetRules::TargetRules(const TargetRules& other161) {
-  name = other161.name;
-  engine = other161.engine;
-  checks_fencing_token = other161.checks_fencing_token;
-  weights_version = other161.weights_version;
-  max_loads = other161.max_loads;
-  __isset = other161.__isset;
-}
-TargetRules::TargetRules(TargetRules&& other162) noexcept {
-  name = std::move(other162.name);
-  engine = other162.engine;
-  checks_fencing_token = other162.checks_fencing_token;
-  weights_version = other162.weights_version;
-  max_loads = other162.max_loads;
-  __isset = other162.__isset;
-}
-TargetRules& TargetRules::operator=(const TargetRules& other163) {
-  name = other163.name;
-  engine = other163.engine;
-  checks_fencing_token = other163.checks_fencing_token;
-  weights_version = other163.weights_version;
-  max_loads = other163.max_loads;
-  __isset = other163.__isset;
+TargetRules::TargetRules(const TargetRules& other167) {
+  name = other167.name;
+  engine = other167.engine;
+  checks_fencing_token = other167.checks_fencing_token;
+  weights_version = other167.weights_version;
+  max_loads = other167.max_loads;
+  __isset = other167.__isset;
+}
+TargetRules::TargetRules(TargetRules&& other168) noexcept {
+  name = std::move(other168.name);
+  engine = other168.engine;
+  checks_fencing_token = other168.checks_fencing_token;
+  weights_version = other168.weights_version;
+  max_loads = other168.max_loads;
+  __isset = other168.__isset;
+}
+TargetRules& TargetRules::operator=(const TargetRules& other169) {
+  name = other169.name;
+  engine = other169.engine;
+  checks_fencing_token = other169.checks_fencing_token;
+  weights_version = other169.weights_version;
+  max_loads = other169.max_loads;
+  __isset = other169.__isset;
   return *this;
 }
-TargetRules& TargetRules::operator=(TargetRules&& other164) noexcept {
-  name = std::move(other164.name);
-  engine = other164.engine;
-  checks_fencing_token = other164.checks_fencing_token;
-  weights_version = other164.weights_version;
-  max_loads = other164.max_loads;
-  __isset = other164.__isset;
+TargetRules& TargetRules::operator=(TargetRules&& other170) noexcept {
+  name = std::move(other170.name);
+  engine = other170.engine;
+  checks_fencing_token = other170.checks_fencing_token;
+  weights_version = other170.weights_version;
+  max_loads = other170.max_loads;
+  __isset = other170.__isset;
   return *this;
 }
 void TargetRules::printTo(std::ostream& out) const {
@@ -6201,14 +6245,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size165;
-            ::apache::thrift::protocol::TType _etype168;
-            xfer += iprot->readListBegin(_etype168, _size165);
-            this->targets.resize(_size165);
-            uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169)
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->targets.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
             {
-              xfer += this->targets[_i169].read(iprot);
+              xfer += this->targets[_i175].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6221,14 +6265,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->operator_key_digests.clear();
-            uint32_t _size170;
-            ::apache::thrift::protocol::TType _etype173;
-            xfer += iprot->readListBegin(_etype173, _size170);
-            this->operator_key_digests.resize(_size170);
-            uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->operator_key_digests.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += iprot->readString(this->operator_key_digests[_i174]);
+              xfer += iprot->readString(this->operator_key_digests[_i180]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6257,10 +6301,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<TargetRules> ::const_iterator _iter175;
-    for (_iter175 = this->targets.begin(); _iter175 != this->targets.end(); ++_iter175)
+    std::vector<TargetRules> ::const_iterator _iter181;
+    for (_iter181 = this->targets.begin(); _iter181 != this->targets.end(); ++_iter181)
     {
-      xfer += (*_iter175).write(oprot);
+      xfer += (*_iter181).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6269,10 +6313,10 @@
   xfer += oprot->writeFieldBegin("operator_key_digests", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->operator_key_digests.size()));
-    std::vector<std::string> ::const_iterator _iter176;
-    for (_iter176 = this->operator_key_digests.begin(); _iter176 != this->operator_key_digests.end(); ++_iter176)
+    std::vector<std::string> ::const_iterator _iter182;
+    for (_iter182 = this->operator_key_digests.begin(); _iter182 != this->operator_key_digests.end(); ++_iter182)
     {
-      xfer += oprot->writeString((*_iter176));
+      xfer += oprot->writeString((*_iter182));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6290,26 +6334,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetRules::FleetRules(const FleetRules& other177) {
-  targets = other177.targets;
-  operator_key_digests = other177.operator_key_digests;
-  __isset = other177.__isset;
+FleetRules::FleetRules(const FleetRules& other183) {
+  targets = other183.targets;
+  operator_key_digests = other183.operator_key_digests;
+  __isset = other183.__isset;
 }
-FleetRules::FleetRules(FleetRules&& other178) noexcept {
-  targets = std::move(other178.targets);
-  operator_key_digests = std::move(other178.operator_key_digests);
-  __isset = other178.__isset;
+FleetRules::FleetRules(FleetRules&& other184) noexcept {
+  targets = std::move(other184.targets);
+  operator_key_digests = std::move(other184.operator_key_digests);
+  __isset = other184.__isset;
 }
-FleetRules& FleetRules::operator=(const FleetRules& other179) {
-  targets = other179.targets;
-  operator_key_digests = other179.operator_key_digests;
-  __isset = other179.__isset;
+FleetRules& FleetRules::operator=(const FleetRules& other185) {
+  targets = other185.targets;
+  operator_key_digests = other185.operator_key_digests;
+  __isset = other185.__isset;
   return *this;
 }
-FleetRules& FleetRules::operator=(FleetRules&& other180) noexcept {
-  targets = std::move(other180.targets);
-  operator_key_digests = std::move(other180.operator_key_digests);
-  __isset = other180.__isset;
+FleetRules& FleetRules::operator=(FleetRules&& other186) noexcept {
+  targets = std::move(other186.targets);
+  operator_key_digests = std::move(other186.operator_key_digests);
+  __isset = other186.__isset;
   return *this;
 }
 void FleetRules::printTo(std::ostream& out) const {
@@ -6447,34 +6491,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RolloutServer::RolloutServer(const RolloutServer& other181) {
-  id = other181.id;
-  model = other181.model;
-  version = other181.version;
-  switching = other181.switching;
-  __isset = other181.__isset;
-}
-RolloutServer::RolloutServer(RolloutServer&& other182) noexcept {
-  id = std::move(other182.id);
-  model = std::move(other182.model);
-  version = other182.version;
-  switching = other182.switching;
-  __isset = other182.__isset;
-}
-RolloutServer& RolloutServer::operator=(const RolloutServer& other183) {
-  id = other183.id;
-  model = other183.model;
-  version = other183.version;
-  switching = other183.switching;
-  __isset = other183.__isset;
+RolloutServer::RolloutServer(const RolloutServer& other187) {
+  id = other187.id;
+  model = other187.model;
+  version = other187.version;
+  switching = other187.switching;
+  __isset = other187.__isset;
+}
+RolloutServer::RolloutServer(RolloutServer&& other188) noexcept {
+  id = std::move(other188.id);
+  model = std::move(other188.model);
+  version = other188.version;
+  switching = other188.switching;
+  __isset = other188.__isset;
+}
+RolloutServer& RolloutServer::operator=(const RolloutServer& other189) {
+  id = other189.id;
+  model = other189.model;
+  version = other189.version;
+  switching = other189.switching;
+  __isset = other189.__isset;
   return *this;
 }
-RolloutServer& RolloutServer::operator=(RolloutServer&& other184) noexcept {
-  id = std::move(other184.id);
-  model = std::move(other184.model);
-  version = other184.version;
-  switching = other184.switching;
-  __isset = other184.__isset;
+RolloutServer& RolloutServer::operator=(RolloutServer&& other190) noexcept {
+  id = std::move(other190.id);
+  model = std::move(other190.model);
+  version = other190.version;
+  switching = other190.switching;
+  __isset = other190.__isset;
   return *this;
 }
 void RolloutServer::printTo(std::ostream& out) const {
@@ -6539,14 +6583,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size185;
-            ::apache::thrift::protocol::TType _etype188;
-            xfer += iprot->readListBegin(_etype188, _size185);
-            this->servers.resize(_size185);
-            uint32_t _i189;
-            for (_i189 = 0; _i189 < _size185; ++_i189)
+            uint32_t _size191;
+            ::apache::thrift::protocol::TType _etype194;
+            xfer += iprot->readListBegin(_etype194, _size191);
+            this->servers.resize(_size191);
+            uint32_t _i195;
+            for (_i195 = 0; _i195 < _size191; ++_i195)
             {
-              xfer += this->servers[_i189].read(iprot);
+              xfer += this->servers[_i195].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6579,10 +6623,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<RolloutServer> ::const_iterator _iter190;
-    for (_iter190 = this->servers.begin(); _iter190 != this->servers.end(); ++_iter190)
+    std::vector<RolloutServer> ::const_iterator _iter196;
+    for (_iter196 = this->servers.begin(); _iter196 != this->servers.end(); ++_iter196)
     {
-      xfer += (*_iter190).write(oprot);
+      xfer += (*_iter196).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6600,26 +6644,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RolloutNotice::RolloutNotice(const RolloutNotice& other191) {
-  instance = other191.instance;
-  servers = other191.servers;
-  __isset = other191.__isset;
+RolloutNotice::RolloutNotice(const RolloutNotice& other197) {
+  instance = other197.instance;
+  servers = other197.servers;
+  __isset = other197.__isset;
 }
-RolloutNotice::RolloutNotice(RolloutNotice&& other192) noexcept {
-  instance = std::move(other192.instance);
-  servers = std::move(other192.servers);
-  __isset = other192.__isset;
+RolloutNotice::RolloutNotice(RolloutNotice&& other198) noexcept {
+  instance = std::move(other198.instance);
+  servers = std::move(other198.servers);
+  __isset = other198.__isset;
 }
-RolloutNotice& RolloutNotice::operator=(const RolloutNotice& other193) {
-  instance = other193.instance;
-  servers = other193.servers;
-  __isset = other193.__isset;
+RolloutNotice& RolloutNotice::operator=(const RolloutNotice& other199) {
+  instance = other199.instance;
+  servers = other199.servers;
+  __isset = other199.__isset;
   return *this;
 }
-RolloutNotice& RolloutNotice::operator=(RolloutNotice&& other194) noexcept {
-  instance = std::move(other194.instance);
-  servers = std::move(other194.servers);
-  __isset = other194.__isset;
+RolloutNotice& RolloutNotice::operator=(RolloutNotice&& other200) noexcept {
+  instance = std::move(other200.instance);
+  servers = std::move(other200.servers);
+  __isset = other200.__isset;
   return *this;
 }
 void RolloutNotice::printTo(std::ostream& out) const {
@@ -6740,30 +6784,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerUse::ServerUse(const ServerUse& other195) {
-  id = other195.id;
-  in_flight = other195.in_flight;
-  unread_tokens = other195.unread_tokens;
-  __isset = other195.__isset;
+ServerUse::ServerUse(const ServerUse& other201) {
+  id = other201.id;
+  in_flight = other201.in_flight;
+  unread_tokens = other201.unread_tokens;
+  __isset = other201.__isset;
 }
-ServerUse::ServerUse(ServerUse&& other196) noexcept {
-  id = std::move(other196.id);
-  in_flight = other196.in_flight;
-  unread_tokens = other196.unread_tokens;
-  __isset = other196.__isset;
+ServerUse::ServerUse(ServerUse&& other202) noexcept {
+  id = std::move(other202.id);
+  in_flight = other202.in_flight;
+  unread_tokens = other202.unread_tokens;
+  __isset = other202.__isset;
 }
-ServerUse& ServerUse::operator=(const ServerUse& other197) {
-  id = other197.id;
-  in_flight = other197.in_flight;
-  unread_tokens = other197.unread_tokens;
-  __isset = other197.__isset;
+ServerUse& ServerUse::operator=(const ServerUse& other203) {
+  id = other203.id;
+  in_flight = other203.in_flight;
+  unread_tokens = other203.unread_tokens;
+  __isset = other203.__isset;
   return *this;
 }
-ServerUse& ServerUse::operator=(ServerUse&& other198) noexcept {
-  id = std::move(other198.id);
-  in_flight = other198.in_flight;
-  unread_tokens = other198.unread_tokens;
-  __isset = other198.__isset;
+ServerUse& ServerUse::operator=(ServerUse&& other204) noexcept {
+  id = std::move(other204.id);
+  in_flight = other204.in_flight;
+  unread_tokens = other204.unread_tokens;
+  __isset = other204.__isset;
   return *this;
 }
 void ServerUse::printTo(std::ostream& out) const {
@@ -6831,14 +6875,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size199;
-            ::apache::thrift::protocol::TType _etype202;
-            xfer += iprot->readListBegin(_etype202, _size199);
-            this->parts.resize(_size199);
-            uint32_t _i203;
-            for (_i203 = 0; _i203 < _size199; ++_i203)
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _etype208;
+            xfer += iprot->readListBegin(_etype208, _size205);
+            this->parts.resize(_size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
             {
-              xfer += iprot->readI64(this->parts[_i203]);
+              xfer += iprot->readI64(this->parts[_i209]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6851,14 +6895,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tokens.clear();
-            uint32_t _size204;
-            ::apache::thrift::protocol::TType _etype207;
-            xfer += iprot->readListBegin(_etype207, _size204);
-            this->tokens.resize(_size204);
-            uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208)
+            uint32_t _size210;
+            ::apache::thrift::protocol::TType _etype213;
+            xfer += iprot->readListBegin(_etype213, _size210);
+            this->tokens.resize(_size210);
+            uint32_t _i214;
+            for (_i214 = 0; _i214 < _size210; ++_i214)
             {
-              xfer += iprot->readI32(this->tokens[_i208]);
+              xfer += iprot->readI32(this->tokens[_i214]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6891,10 +6935,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter209;
-    for (_iter209 = this->parts.begin(); _iter209 != this->parts.end(); ++_iter209)
+    std::vector<int64_t> ::const_iterator _iter215;
+    for (_iter215 = this->parts.begin(); _iter215 != this->parts.end(); ++_iter215)
     {
-      xfer += oprot->writeI64((*_iter209));
+      xfer += oprot->writeI64((*_iter215));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6903,10 +6947,10 @@
   xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->tokens.size()));
-    std::vector<int32_t> ::const_iterator _iter210;
-    for (_iter210 = this->tokens.begin(); _iter210 != this->tokens.end(); ++_iter210)
+    std::vector<int32_t> ::const_iterator _iter216;
+    for (_iter216 = this->tokens.begin(); _iter216 != this->tokens.end(); ++_iter216)
     {
-      xfer += oprot->writeI32((*_iter210));
+      xfer += oprot->writeI32((*_iter216));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6925,30 +6969,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SentPrompt::SentPrompt(const SentPrompt& other211) {
-  server = other211.server;
-  parts = other211.parts;
-  tokens = other211.tokens;
-  __isset = other211.__isset;
+SentPrompt::SentPrompt(const SentPrompt& other217) {
+  server = other217.server;
+  parts = other217.parts;
+  tokens = other217.tokens;
+  __isset = other217.__isset;
 }
-SentPrompt::SentPrompt(SentPrompt&& other212) noexcept {
-  server = std::move(other212.server);
-  parts = std::move(other212.parts);
-  tokens = std::move(other212.tokens);
-  __isset = other212.__isset;
+SentPrompt::SentPrompt(SentPrompt&& other218) noexcept {
+  server = std::move(other218.server);
+  parts = std::move(other218.parts);
+  tokens = std::move(other218.tokens);
+  __isset = other218.__isset;
 }
-SentPrompt& SentPrompt::operator=(const SentPrompt& other213) {
-  server = other213.server;
-  parts = other213.parts;
-  tokens = other213.tokens;
-  __isset = other213.__isset;
+SentPrompt& SentPrompt::operator=(const SentPrompt& other219) {
+  server = other219.server;
+  parts = other219.parts;
+  tokens = other219.tokens;
+  __isset = other219.__isset;
   return *this;
 }
-SentPrompt& SentPrompt::operator=(SentPrompt&& other214) noexcept {
-  server = std::move(other214.server);
-  parts = std::move(other214.parts);
-  tokens = std::move(other214.tokens);
-  __isset = other214.__isset;
+SentPrompt& SentPrompt::operator=(SentPrompt&& other220) noexcept {
+  server = std::move(other220.server);
+  parts = std::move(other220.parts);
+  tokens = std::move(other220.tokens);
+  __isset = other220.__isset;
   return *this;
 }
 void SentPrompt::printTo(std::ostream& out) const {
@@ -7024,14 +7068,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size215;
-            ::apache::thrift::protocol::TType _etype218;
-            xfer += iprot->readListBegin(_etype218, _size215);
-            this->suspects.resize(_size215);
-            uint32_t _i219;
-            for (_i219 = 0; _i219 < _size215; ++_i219)
+            uint32_t _size221;
+            ::apache::thrift::protocol::TType _etype224;
+            xfer += iprot->readListBegin(_etype224, _size221);
+            this->suspects.resize(_size221);
+            uint32_t _i225;
+            for (_i225 = 0; _i225 < _size221; ++_i225)
             {
-              xfer += iprot->readI64(this->suspects[_i219]);
+              xfer += iprot->readI64(this->suspects[_i225]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7068,10 +7112,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<int64_t> ::const_iterator _iter220;
-    for (_iter220 = this->suspects.begin(); _iter220 != this->suspects.end(); ++_iter220)
+    std::vector<int64_t> ::const_iterator _iter226;
+    for (_iter226 = this->suspects.begin(); _iter226 != this->suspects.end(); ++_iter226)
     {
-      xfer += oprot->writeI64((*_iter220));
+      xfer += oprot->writeI64((*_iter226));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7090,30 +7134,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashFact::CrashFact(const CrashFact& other221) {
-  server = other221.server;
-  age_ms = other221.age_ms;
-  suspects = other221.suspects;
-  __isset = other221.__isset;
+CrashFact::CrashFact(const CrashFact& other227) {
+  server = other227.server;
+  age_ms = other227.age_ms;
+  suspects = other227.suspects;
+  __isset = other227.__isset;
 }
-CrashFact::CrashFact(CrashFact&& other222) noexcept {
-  server = other222.server;
-  age_ms = other222.age_ms;
-  suspects = std::move(other222.suspects);
-  __isset = other222.__isset;
+CrashFact::CrashFact(CrashFact&& other228) noexcept {
+  server = other228.server;
+  age_ms = other228.age_ms;
+  suspects = std::move(other228.suspects);
+  __isset = other228.__isset;
 }
-CrashFact& CrashFact::operator=(const CrashFact& other223) {
-  server = other223.server;
-  age_ms = other223.age_ms;
-  suspects = other223.suspects;
-  __isset = other223.__isset;
+CrashFact& CrashFact::operator=(const CrashFact& other229) {
+  server = other229.server;
+  age_ms = other229.age_ms;
+  suspects = other229.suspects;
+  __isset = other229.__isset;
   return *this;
 }
-CrashFact& CrashFact::operator=(CrashFact&& other224) noexcept {
-  server = other224.server;
-  age_ms = other224.age_ms;
-  suspects = std::move(other224.suspects);
-  __isset = other224.__isset;
+CrashFact& CrashFact::operator=(CrashFact&& other230) noexcept {
+  server = other230.server;
+  age_ms = other230.age_ms;
+  suspects = std::move(other230.suspects);
+  __isset = other230.__isset;
   return *this;
 }
 void CrashFact::printTo(std::ostream& out) const {
@@ -7218,26 +7262,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SoundFact::SoundFact(const SoundFact& other225) noexcept {
-  part = other225.part;
-  age_ms = other225.age_ms;
-  __isset = other225.__isset;
+SoundFact::SoundFact(const SoundFact& other231) noexcept {
+  part = other231.part;
+  age_ms = other231.age_ms;
+  __isset = other231.__isset;
 }
-SoundFact::SoundFact(SoundFact&& other226) noexcept {
-  part = other226.part;
-  age_ms = other226.age_ms;
-  __isset = other226.__isset;
+SoundFact::SoundFact(SoundFact&& other232) noexcept {
+  part = other232.part;
+  age_ms = other232.age_ms;
+  __isset = other232.__isset;
 }
-SoundFact& SoundFact::operator=(const SoundFact& other227) noexcept {
-  part = other227.part;
-  age_ms = other227.age_ms;
-  __isset = other227.__isset;
+SoundFact& SoundFact::operator=(const SoundFact& other233) noexcept {
+  part = other233.part;
+  age_ms = other233.age_ms;
+  __isset = other233.__isset;
   return *this;
 }
-SoundFact& SoundFact::operator=(SoundFact&& other228) noexcept {
-  part = other228.part;
-  age_ms = other228.age_ms;
-  __isset = other228.__isset;
+SoundFact& SoundFact::operator=(SoundFact&& other234) noexcept {
+  part = other234.part;
+  age_ms = other234.age_ms;
+  __isset = other234.__isset;
   return *this;
 }
 void SoundFact::printTo(std::ostream& out) const {
@@ -7426,46 +7470,46 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantineFact::QuarantineFact(const QuarantineFact& other229) noexcept {
-  part = other229.part;
-  age_ms = other229.age_ms;
-  left_ms = other229.left_ms;
-  held_ms = other229.held_ms;
-  crashes = other229.crashes;
-  servers = other229.servers;
-  level = other229.level;
-  __isset = other229.__isset;
-}
-QuarantineFact::QuarantineFact(QuarantineFact&& other230) noexcept {
-  part = other230.part;
-  age_ms = other230.age_ms;
-  left_ms = other230.left_ms;
-  held_ms = other230.held_ms;
-  crashes = other230.crashes;
-  servers = other230.servers;
-  level = other230.level;
-  __isset = other230.__isset;
-}
-QuarantineFact& QuarantineFact::operator=(const QuarantineFact& other231) noexcept {
-  part = other231.part;
-  age_ms = other231.age_ms;
-  left_ms = other231.left_ms;
-  held_ms = other231.held_ms;
-  crashes = other231.crashes;
-  servers = other231.servers;
-  level = other231.level;
-  __isset = other231.__isset;
+QuarantineFact::QuarantineFact(const QuarantineFact& other235) noexcept {
+  part = other235.part;
+  age_ms = other235.age_ms;
+  left_ms = other235.left_ms;
+  held_ms = other235.held_ms;
+  crashes = other235.crashes;
+  servers = other235.servers;
+  level = other235.level;
+  __isset = other235.__isset;
+}
+QuarantineFact::QuarantineFact(QuarantineFact&& other236) noexcept {
+  part = other236.part;
+  age_ms = other236.age_ms;
+  left_ms = other236.left_ms;
+  held_ms = other236.held_ms;
+  crashes = other236.crashes;
+  servers = other236.servers;
+  level = other236.level;
+  __isset = other236.__isset;
+}
+QuarantineFact& QuarantineFact::operator=(const QuarantineFact& other237) noexcept {
+  part = other237.part;
+  age_ms = other237.age_ms;
+  left_ms = other237.left_ms;
+  held_ms = other237.held_ms;
+  crashes = other237.crashes;
+  servers = other237.servers;
+  level = other237.level;
+  __isset = other237.__isset;
   return *this;
 }
-QuarantineFact& QuarantineFact::operator=(QuarantineFact&& other232) noexcept {
-  part = other232.part;
-  age_ms = other232.age_ms;
-  left_ms = other232.left_ms;
-  held_ms = other232.held_ms;
-  crashes = other232.crashes;
-  servers = other232.servers;
-  level = other232.level;
-  __isset = other232.__isset;
+QuarantineFact& QuarantineFact::operator=(QuarantineFact&& other238) noexcept {
+  part = other238.part;
+  age_ms = other238.age_ms;
+  left_ms = other238.left_ms;
+  held_ms = other238.held_ms;
+  crashes = other238.crashes;
+  servers = other238.servers;
+  level = other238.level;
+  __isset = other238.__isset;
   return *this;
 }
 void QuarantineFact::printTo(std::ostream& out) const {
@@ -7529,14 +7573,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size233;
-            ::apache::thrift::protocol::TType _etype236;
-            xfer += iprot->readListBegin(_etype236, _size233);
-            this->crashes.resize(_size233);
-            uint32_t _i237;
-            for (_i237 = 0; _i237 < _size233; ++_i237)
+            uint32_t _size239;
+            ::apache::thrift::protocol::TType _etype242;
+            xfer += iprot->readListBegin(_etype242, _size239);
+            this->crashes.resize(_size239);
+            uint32_t _i243;
+            for (_i243 = 0; _i243 < _size239; ++_i243)
             {
-              xfer += this->crashes[_i237].read(iprot);
+              xfer += this->crashes[_i243].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7549,14 +7593,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sound.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->sound.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size244;
+            ::apache::thrift::protocol::TType _etype247;
+            xfer += iprot->readListBegin(_etype247, _size244);
+            this->sound.resize(_size244);
+            uint32_t _i248;
+            for (_i248 = 0; _i248 < _size244; ++_i248)
             {
-              xfer += this->sound[_i242].read(iprot);
+              xfer += this->sound[_i248].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7569,14 +7613,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size243;
-            ::apache::thrift::protocol::TType _etype246;
-            xfer += iprot->readListBegin(_etype246, _size243);
-            this->quarantines.resize(_size243);
-            uint32_t _i247;
-            for (_i247 = 0; _i247 < _size243; ++_i247)
+            uint32_t _size249;
+            ::apache::thrift::protocol::TType _etype252;
+            xfer += iprot->readListBegin(_etype252, _size249);
+            this->quarantines.resize(_size249);
+            uint32_t _i253;
+            for (_i253 = 0; _i253 < _size249; ++_i253)
             {
-              xfer += this->quarantines[_i247].read(iprot);
+              xfer += this->quarantines[_i253].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7605,10 +7649,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashFact> ::const_iterator _iter248;
-    for (_iter248 = this->crashes.begin(); _iter248 != this->crashes.end(); ++_iter248)
+    std::vector<CrashFact> ::const_iterator _iter254;
+    for (_iter254 = this->crashes.begin(); _iter254 != this->crashes.end(); ++_iter254)
     {
-      xfer += (*_iter248).write(oprot);
+      xfer += (*_iter254).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7617,10 +7661,10 @@
   xfer += oprot->writeFieldBegin("sound", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sound.size()));
-    std::vector<SoundFact> ::const_iterator _iter249;
-    for (_iter249 = this->sound.begin(); _iter249 != this->sound.end(); ++_iter249)
+    std::vector<SoundFact> ::const_iterator _iter255;
+    for (_iter255 = this->sound.begin(); _iter255 != this->sound.end(); ++_iter255)
     {
-      xfer += (*_iter249).write(oprot);
+      xfer += (*_iter255).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7629,10 +7673,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineFact> ::const_iterator _iter250;
-    for (_iter250 = this->quarantines.begin(); _iter250 != this->quarantines.end(); ++_iter250)
+    std::vector<QuarantineFact> ::const_iterator _iter256;
+    for (_iter256 = this->quarantines.begin(); _iter256 != this->quarantines.end(); ++_iter256)
     {
-      xfer += (*_iter250).write(oprot);
+      xfer += (*_iter256).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7651,30 +7695,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashFacts::CrashFacts(const CrashFacts& other251) {
-  crashes = other251.crashes;
-  sound = other251.sound;
-  quarantines = other251.quarantines;
-  __isset = other251.__isset;
+CrashFacts::CrashFacts(const CrashFacts& other257) {
+  crashes = other257.crashes;
+  sound = other257.sound;
+  quarantines = other257.quarantines;
+  __isset = other257.__isset;
 }
-CrashFacts::CrashFacts(CrashFacts&& other252) noexcept {
-  crashes = std::move(other252.crashes);
-  sound = std::move(other252.sound);
-  quarantines = std::move(other252.quarantines);
-  __isset = other252.__isset;
+CrashFacts::CrashFacts(CrashFacts&& other258) noexcept {
+  crashes = std::move(other258.crashes);
+  sound = std::move(other258.sound);
+  quarantines = std::move(other258.quarantines);
+  __isset = other258.__isset;
 }
-CrashFacts& CrashFacts::operator=(const CrashFacts& other253) {
-  crashes = other253.crashes;
-  sound = other253.sound;
-  quarantines = other253.quarantines;
-  __isset = other253.__isset;
+CrashFacts& CrashFacts::operator=(const CrashFacts& other259) {
+  crashes = other259.crashes;
+  sound = other259.sound;
+  quarantines = other259.quarantines;
+  __isset = other259.__isset;
   return *this;
 }
-CrashFacts& CrashFacts::operator=(CrashFacts&& other254) noexcept {
-  crashes = std::move(other254.crashes);
-  sound = std::move(other254.sound);
-  quarantines = std::move(other254.quarantines);
-  __isset = other254.__isset;
+CrashFacts& CrashFacts::operator=(CrashFacts&& other260) noexcept {
+  crashes = std::move(other260.crashes);
+  sound = std::move(other260.sound);
+  quarantines = std::move(other260.quarantines);
+  __isset = other260.__isset;
   return *this;
 }
 void CrashFacts::printTo(std::ostream& out) const {
@@ -7762,14 +7806,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size255;
-            ::apache::thrift::protocol::TType _etype258;
-            xfer += iprot->readListBegin(_etype258, _size255);
-            this->uses.resize(_size255);
-            uint32_t _i259;
-            for (_i259 = 0; _i259 < _size255; ++_i259)
+            uint32_t _size261;
+            ::apache::thrift::protocol::TType _etype264;
+            xfer += iprot->readListBegin(_etype264, _size261);
+            this->uses.resize(_size261);
+            uint32_t _i265;
+            for (_i265 = 0; _i265 < _size261; ++_i265)
             {
-              xfer += this->uses[_i259].read(iprot);
+              xfer += this->uses[_i265].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7782,14 +7826,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prompts.clear();
-            uint32_t _size260;
-            ::apache::thrift::protocol::TType _etype263;
-            xfer += iprot->readListBegin(_etype263, _size260);
-            this->prompts.resize(_size260);
-            uint32_t _i264;
-            for (_i264 = 0; _i264 < _size260; ++_i264)
+            uint32_t _size266;
+            ::apache::thrift::protocol::TType _etype269;
+            xfer += iprot->readListBegin(_etype269, _size266);
+            this->prompts.resize(_size266);
+            uint32_t _i270;
+            for (_i270 = 0; _i270 < _size266; ++_i270)
             {
-              xfer += this->prompts[_i264].read(iprot);
+              xfer += this->prompts[_i270].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7842,10 +7886,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<ServerUse> ::const_iterator _iter265;
-    for (_iter265 = this->uses.begin(); _iter265 != this->uses.end(); ++_iter265)
+    std::vector<ServerUse> ::const_iterator _iter271;
+    for (_iter271 = this->uses.begin(); _iter271 != this->uses.end(); ++_iter271)
     {
-      xfer += (*_iter265).write(oprot);
+      xfer += (*_iter271).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7854,10 +7898,10 @@
   xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
-    std::vector<SentPrompt> ::const_iterator _iter266;
-    for (_iter266 = this->prompts.begin(); _iter266 != this->prompts.end(); ++_iter266)
+    std::vector<SentPrompt> ::const_iterator _iter272;
+    for (_iter272 = this->prompts.begin(); _iter272 != this->prompts.end(); ++_iter272)
     {
-      xfer += (*_iter266).write(oprot);
+      xfer += (*_iter272).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7887,42 +7931,42 @@
   swap(a.__isset, b.__isset);
 }
 
-UseNotice::UseNotice(const UseNotice& other267) {
-  incarnation = other267.incarnation;
-  sequence = other267.sequence;
-  uses = other267.uses;
-  prompts = other267.prompts;
-  whole = other267.whole;
-  crash_facts = other267.crash_facts;
-  __isset = other267.__isset;
-}
-UseNotice::UseNotice(UseNotice&& other268) noexcept {
-  incarnation = other268.incarnation;
-  sequence = other268.sequence;
-  uses = std::move(other268.uses);
-  prompts = std::move(other268.prompts);
-  whole = other268.whole;
-  crash_facts = std::move(other268.crash_facts);
-  __isset = other268.__isset;
-}
-UseNotice& UseNotice::operator=(const UseNotice& other269) {
-  incarnation = other269.incarnation;
-  sequence = other269.sequence;
-  uses = other269.uses;
-  prompts = other269.prompts;
-  whole = other269.whole;
-  crash_facts = other269.crash_facts;
-  __isset = other269.__isset;
+UseNotice::UseNotice(const UseNotice& other273) {
+  incarnation = other273.incarnation;
+  sequence = other273.sequence;
+  uses = other273.uses;
+  prompts = other273.prompts;
+  whole = other273.whole;
+  crash_facts = other273.crash_facts;
+  __isset = other273.__isset;
+}
+UseNotice::UseNotice(UseNotice&& other274) noexcept {
+  incarnation = other274.incarnation;
+  sequence = other274.sequence;
+  uses = std::move(other274.uses);
+  prompts = std::move(other274.prompts);
+  whole = other274.whole;
+  crash_facts = std::move(other274.crash_facts);
+  __isset = other274.__isset;
+}
+UseNotice& UseNotice::operator=(const UseNotice& other275) {
+  incarnation = other275.incarnation;
+  sequence = other275.sequence;
+  uses = other275.uses;
+  prompts = other275.prompts;
+  whole = other275.whole;
+  crash_facts = other275.crash_facts;
+  __isset = other275.__isset;
   return *this;
 }
-UseNotice& UseNotice::operator=(UseNotice&& other270) noexcept {
-  incarnation = other270.incarnation;
-  sequence = other270.sequence;
-  uses = std::move(other270.uses);
-  prompts = std::move(other270.prompts);
-  whole = other270.whole;
-  crash_facts = std::move(other270.crash_facts);
-  __isset = other270.__isset;
+UseNotice& UseNotice::operator=(UseNotice&& other276) noexcept {
+  incarnation = other276.incarnation;
+  sequence = other276.sequence;
+  uses = std::move(other276.uses);
+  prompts = std::move(other276.prompts);
+  whole = other276.whole;
+  crash_facts = std::move(other276.crash_facts);
+  __isset = other276.__isset;
   return *this;
 }
 void UseNotice::printTo(std::ostream& out) const {
@@ -8064,34 +8108,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RowCopy::RowCopy(const RowCopy& other271) {
-  key = other271.key;
-  value = other271.value;
-  version = other271.version;
-  removed = other271.removed;
-  __isset = other271.__isset;
-}
-RowCopy::RowCopy(RowCopy&& other272) noexcept {
-  key = std::move(other272.key);
-  value = std::move(other272.value);
-  version = other272.version;
-  removed = other272.removed;
-  __isset = other272.__isset;
-}
-RowCopy& RowCopy::operator=(const RowCopy& other273) {
-  key = other273.key;
-  value = other273.value;
-  version = other273.version;
-  removed = other273.removed;
-  __isset = other273.__isset;
+RowCopy::RowCopy(const RowCopy& other277) {
+  key = other277.key;
+  value = other277.value;
+  version = other277.version;
+  removed = other277.removed;
+  __isset = other277.__isset;
+}
+RowCopy::RowCopy(RowCopy&& other278) noexcept {
+  key = std::move(other278.key);
+  value = std::move(other278.value);
+  version = other278.version;
+  removed = other278.removed;
+  __isset = other278.__isset;
+}
+RowCopy& RowCopy::operator=(const RowCopy& other279) {
+  key = other279.key;
+  value = other279.value;
+  version = other279.version;
+  removed = other279.removed;
+  __isset = other279.__isset;
   return *this;
 }
-RowCopy& RowCopy::operator=(RowCopy&& other274) noexcept {
-  key = std::move(other274.key);
-  value = std::move(other274.value);
-  version = other274.version;
-  removed = other274.removed;
-  __isset = other274.__isset;
+RowCopy& RowCopy::operator=(RowCopy&& other280) noexcept {
+  key = std::move(other280.key);
+  value = std::move(other280.value);
+  version = other280.version;
+  removed = other280.removed;
+  __isset = other280.__isset;
   return *this;
 }
 void RowCopy::printTo(std::ostream& out) const {
@@ -8180,14 +8224,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size275;
-            ::apache::thrift::protocol::TType _etype278;
-            xfer += iprot->readListBegin(_etype278, _size275);
-            this->rows.resize(_size275);
-            uint32_t _i279;
-            for (_i279 = 0; _i279 < _size275; ++_i279)
+            uint32_t _size281;
+            ::apache::thrift::protocol::TType _etype284;
+            xfer += iprot->readListBegin(_etype284, _size281);
+            this->rows.resize(_size281);
+            uint32_t _i285;
+            for (_i285 = 0; _i285 < _size281; ++_i285)
             {
-              xfer += this->rows[_i279].read(iprot);
+              xfer += this->rows[_i285].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8228,10 +8272,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<RowCopy> ::const_iterator _iter280;
-    for (_iter280 = this->rows.begin(); _iter280 != this->rows.end(); ++_iter280)
+    std::vector<RowCopy> ::const_iterator _iter286;
+    for (_iter286 = this->rows.begin(); _iter286 != this->rows.end(); ++_iter286)
     {
-      xfer += (*_iter280).write(oprot);
+      xfer += (*_iter286).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8251,34 +8295,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TableCopy::TableCopy(const TableCopy& other281) {
-  name = other281.name;
-  version = other281.version;
-  whole = other281.whole;
-  rows = other281.rows;
-  __isset = other281.__isset;
-}
-TableCopy::TableCopy(TableCopy&& other282) noexcept {
-  name = std::move(other282.name);
-  version = other282.version;
-  whole = other282.whole;
-  rows = std::move(other282.rows);
-  __isset = other282.__isset;
-}
-TableCopy& TableCopy::operator=(const TableCopy& other283) {
-  name = other283.name;
-  version = other283.version;
-  whole = other283.whole;
-  rows = other283.rows;
-  __isset = other283.__isset;
+TableCopy::TableCopy(const TableCopy& other287) {
+  name = other287.name;
+  version = other287.version;
+  whole = other287.whole;
+  rows = other287.rows;
+  __isset = other287.__isset;
+}
+TableCopy::TableCopy(TableCopy&& other288) noexcept {
+  name = std::move(other288.name);
+  version = other288.version;
+  whole = other288.whole;
+  rows = std::move(other288.rows);
+  __isset = other288.__isset;
+}
+TableCopy& TableCopy::operator=(const TableCopy& other289) {
+  name = other289.name;
+  version = other289.version;
+  whole = other289.whole;
+  rows = other289.rows;
+  __isset = other289.__isset;
   return *this;
 }
-TableCopy& TableCopy::operator=(TableCopy&& other284) noexcept {
-  name = std::move(other284.name);
-  version = other284.version;
-  whole = other284.whole;
-  rows = std::move(other284.rows);
-  __isset = other284.__isset;
+TableCopy& TableCopy::operator=(TableCopy&& other290) noexcept {
+  name = std::move(other290.name);
+  version = other290.version;
+  whole = other290.whole;
+  rows = std::move(other290.rows);
+  __isset = other290.__isset;
   return *this;
 }
 void TableCopy::printTo(std::ostream& out) const {
@@ -8347,14 +8391,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size285;
-            ::apache::thrift::protocol::TType _etype288;
-            xfer += iprot->readListBegin(_etype288, _size285);
-            this->tables.resize(_size285);
-            uint32_t _i289;
-            for (_i289 = 0; _i289 < _size285; ++_i289)
+            uint32_t _size291;
+            ::apache::thrift::protocol::TType _etype294;
+            xfer += iprot->readListBegin(_etype294, _size291);
+            this->tables.resize(_size291);
+            uint32_t _i295;
+            for (_i295 = 0; _i295 < _size291; ++_i295)
             {
-              xfer += this->tables[_i289].read(iprot);
+              xfer += this->tables[_i295].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8395,10 +8439,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
-    std::vector<TableCopy> ::const_iterator _iter290;
-    for (_iter290 = this->tables.begin(); _iter290 != this->tables.end(); ++_iter290)
+    std::vector<TableCopy> ::const_iterator _iter296;
+    for (_iter296 = this->tables.begin(); _iter296 != this->tables.end(); ++_iter296)
     {
-      xfer += (*_iter290).write(oprot);
+      xfer += (*_iter296).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8421,30 +8465,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedCopy::FeedCopy(const FeedCopy& other291) {
-  age_ms = other291.age_ms;
-  tables = other291.tables;
-  from_store = other291.from_store;
-  __isset = other291.__isset;
+FeedCopy::FeedCopy(const FeedCopy& other297) {
+  age_ms = other297.age_ms;
+  tables = other297.tables;
+  from_store = other297.from_store;
+  __isset = other297.__isset;
 }
-FeedCopy::FeedCopy(FeedCopy&& other292) noexcept {
-  age_ms = other292.age_ms;
-  tables = std::move(other292.tables);
-  from_store = other292.from_store;
-  __isset = other292.__isset;
+FeedCopy::FeedCopy(FeedCopy&& other298) noexcept {
+  age_ms = other298.age_ms;
+  tables = std::move(other298.tables);
+  from_store = other298.from_store;
+  __isset = other298.__isset;
 }
-FeedCopy& FeedCopy::operator=(const FeedCopy& other293) {
-  age_ms = other293.age_ms;
-  tables = other293.tables;
-  from_store = other293.from_store;
-  __isset = other293.__isset;
+FeedCopy& FeedCopy::operator=(const FeedCopy& other299) {
+  age_ms = other299.age_ms;
+  tables = other299.tables;
+  from_store = other299.from_store;
+  __isset = other299.__isset;
   return *this;
 }
-FeedCopy& FeedCopy::operator=(FeedCopy&& other294) noexcept {
-  age_ms = other294.age_ms;
-  tables = std::move(other294.tables);
-  from_store = other294.from_store;
-  __isset = other294.__isset;
+FeedCopy& FeedCopy::operator=(FeedCopy&& other300) noexcept {
+  age_ms = other300.age_ms;
+  tables = std::move(other300.tables);
+  from_store = other300.from_store;
+  __isset = other300.__isset;
   return *this;
 }
 void FeedCopy::printTo(std::ostream& out) const {
@@ -8549,26 +8593,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TableMark::TableMark(const TableMark& other295) {
-  name = other295.name;
-  version = other295.version;
-  __isset = other295.__isset;
+TableMark::TableMark(const TableMark& other301) {
+  name = other301.name;
+  version = other301.version;
+  __isset = other301.__isset;
 }
-TableMark::TableMark(TableMark&& other296) noexcept {
-  name = std::move(other296.name);
-  version = other296.version;
-  __isset = other296.__isset;
+TableMark::TableMark(TableMark&& other302) noexcept {
+  name = std::move(other302.name);
+  version = other302.version;
+  __isset = other302.__isset;
 }
-TableMark& TableMark::operator=(const TableMark& other297) {
-  name = other297.name;
-  version = other297.version;
-  __isset = other297.__isset;
+TableMark& TableMark::operator=(const TableMark& other303) {
+  name = other303.name;
+  version = other303.version;
+  __isset = other303.__isset;
   return *this;
 }
-TableMark& TableMark::operator=(TableMark&& other298) noexcept {
-  name = std::move(other298.name);
-  version = other298.version;
-  __isset = other298.__isset;
+TableMark& TableMark::operator=(TableMark&& other304) noexcept {
+  name = std::move(other304.name);
+  version = other304.version;
+  __isset = other304.__isset;
   return *this;
 }
 void TableMark::printTo(std::ostream& out) const {
@@ -8631,14 +8675,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size299;
-            ::apache::thrift::protocol::TType _etype302;
-            xfer += iprot->readListBegin(_etype302, _size299);
-            this->tables.resize(_size299);
-            uint32_t _i303;
-            for (_i303 = 0; _i303 < _size299; ++_i303)
+            uint32_t _size305;
+            ::apache::thrift::protocol::TType _etype308;
+            xfer += iprot->readListBegin(_etype308, _size305);
+            this->tables.resize(_size305);
+            uint32_t _i309;
+            for (_i309 = 0; _i309 < _size305; ++_i309)
             {
-              xfer += this->tables[_i303].read(iprot);
+              xfer += this->tables[_i309].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8671,10 +8715,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
-    std::vector<TableMark> ::const_iterator _iter304;
-    for (_iter304 = this->tables.begin(); _iter304 != this->tables.end(); ++_iter304)
+    std::vector<TableMark> ::const_iterator _iter310;
+    for (_iter310 = this->tables.begin(); _iter310 != this->tables.end(); ++_iter310)
     {
-      xfer += (*_iter304).write(oprot);
+      xfer += (*_iter310).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8692,26 +8736,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedQuery::FeedQuery(const FeedQuery& other305) {
-  wait_ms = other305.wait_ms;
-  tables = other305.tables;
-  __isset = other305.__isset;
+FeedQuery::FeedQuery(const FeedQuery& other311) {
+  wait_ms = other311.wait_ms;
+  tables = other311.tables;
+  __isset = other311.__isset;
 }
-FeedQuery::FeedQuery(FeedQuery&& other306) noexcept {
-  wait_ms = other306.wait_ms;
-  tables = std::move(other306.tables);
-  __isset = other306.__isset;
+FeedQuery::FeedQuery(FeedQuery&& other312) noexcept {
+  wait_ms = other312.wait_ms;
+  tables = std::move(other312.tables);
+  __isset = other312.__isset;
 }
-FeedQuery& FeedQuery::operator=(const FeedQuery& other307) {
-  wait_ms = other307.wait_ms;
-  tables = other307.tables;
-  __isset = other307.__isset;
+FeedQuery& FeedQuery::operator=(const FeedQuery& other313) {
+  wait_ms = other313.wait_ms;
+  tables = other313.tables;
+  __isset = other313.__isset;
   return *this;
 }
-FeedQuery& FeedQuery::operator=(FeedQuery&& other308) noexcept {
-  wait_ms = other308.wait_ms;
-  tables = std::move(other308.tables);
-  __isset = other308.__isset;
+FeedQuery& FeedQuery::operator=(FeedQuery&& other314) noexcept {
+  wait_ms = other314.wait_ms;
+  tables = std::move(other314.tables);
+  __isset = other314.__isset;
   return *this;
 }
 void FeedQuery::printTo(std::ostream& out) const {
@@ -8812,9 +8856,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast309;
-          xfer += iprot->readI32(ecast309);
-          this->state = static_cast<ClaimState::type>(ecast309);
+          int32_t ecast315;
+          xfer += iprot->readI32(ecast315);
+          this->state = static_cast<ClaimState::type>(ecast315);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8919,50 +8963,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRecord::ClaimRecord(const ClaimRecord& other310) {
-  attempt_token = other310.attempt_token;
-  agent = other310.agent;
-  body_digest = other310.body_digest;
-  state = other310.state;
-  status = other310.status;
-  content_type = other310.content_type;
-  body = other310.body;
-  at_ms = other310.at_ms;
-  __isset = other310.__isset;
-}
-ClaimRecord::ClaimRecord(ClaimRecord&& other311) noexcept {
-  attempt_token = std::move(other311.attempt_token);
-  agent = std::move(other311.agent);
-  body_digest = std::move(other311.body_digest);
-  state = other311.state;
-  status = other311.status;
-  content_type = std::move(other311.content_type);
-  body = std::move(other311.body);
-  at_ms = other311.at_ms;
-  __isset = other311.__isset;
-}
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other312) {
-  attempt_token = other312.attempt_token;
-  agent = other312.agent;
-  body_digest = other312.body_digest;
-  state = other312.state;
-  status = other312.status;
-  content_type = other312.content_type;
-  body = other312.body;
-  at_ms = other312.at_ms;
-  __isset = other312.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other316) {
+  attempt_token = other316.attempt_token;
+  agent = other316.agent;
+  body_digest = other316.body_digest;
+  state = other316.state;
+  status = other316.status;
+  content_type = other316.content_type;
+  body = other316.body;
+  at_ms = other316.at_ms;
+  __isset = other316.__isset;
+}
+ClaimRecord::ClaimRecord(ClaimRecord&& other317) noexcept {
+  attempt_token = std::move(other317.attempt_token);
+  agent = std::move(other317.agent);
+  body_digest = std::move(other317.body_digest);
+  state = other317.state;
+  status = other317.status;
+  content_type = std::move(other317.content_type);
+  body = std::move(other317.body);
+  at_ms = other317.at_ms;
+  __isset = other317.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other318) {
+  attempt_token = other318.attempt_token;
+  agent = other318.agent;
+  body_digest = other318.body_digest;
+  state = other318.state;
+  status = other318.status;
+  content_type = other318.content_type;
+  body = other318.body;
+  at_ms = other318.at_ms;
+  __isset = other318.__isset;
   return *this;
 }
-ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other313) noexcept {
-  attempt_token = std::move(other313.attempt_token);
-  agent = std::move(other313.agent);
-  body_digest = std::move(other313.body_digest);
-  state = other313.state;
-  status = other313.status;
-  content_type = std::move(other313.content_type);
-  body = std::move(other313.body);
-  at_ms = other313.at_ms;
-  __isset = other313.__isset;
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other319) noexcept {
+  attempt_token = std::move(other319.attempt_token);
+  agent = std::move(other319.agent);
+  body_digest = std::move(other319.body_digest);
+  state = other319.state;
+  status = other319.status;
+  content_type = std::move(other319.content_type);
+  body = std::move(other319.body);
+  at_ms = other319.at_ms;
+  __isset = other319.__isset;
   return *this;
 }
 void ClaimRecord::printTo(std::ostream& out) const {
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -53,7 +53,8 @@
     kCancelled = 13,
     kNoBackend = 14,
     kLateAnswer = 15,
-    kLimit = 16
+    kLimit = 16,
+    kQuarantinedPart = 17
   };
 };
 
@@ -526,7 +527,7 @@
 std::ostream& operator<<(std::ostream& out, const ProbeReply& obj);
 
 typedef struct _Dispatch__isset {
-  _Dispatch__isset() : request_id(false), attempt(false), config_version(false), organisation(false), kind(false), target(false), method(false), path(false), content_type(false), body(false), prefix_keys(false), engine_incarnation(false), weights_version(false), streamed(false), resume_position(false), repeatable(false), idempotency_key(false), wait_limit_us(false), prompt_tokens(false), output_tokens(false), traceparent(false), second_attempt(false), weight(false), long_work(false), priority(false), import_from(false) {}
+  _Dispatch__isset() : request_id(false), attempt(false), config_version(false), organisation(false), kind(false), target(false), method(false), path(false), content_type(false), body(false), prefix_keys(false), engine_incarnation(false), weights_version(false), streamed(false), resume_position(false), repeatable(false), idempotency_key(false), wait_limit_us(false), prompt_tokens(false), output_tokens(false), traceparent(false), second_attempt(false), weight(false), long_work(false), priority(false), import_from(false), part_keys(false) {}
   bool request_id :1;
   bool attempt :1;
   bool config_version :1;
@@ -553,6 +554,7 @@
   bool long_work :1;
   bool priority :1;
   bool import_from :1;
+  bool part_keys :1;
 } _Dispatch__isset;
 
 class Dispatch : public virtual ::apache::thrift::TBase {
@@ -616,6 +618,7 @@
   bool long_work;
   int32_t priority;
   std::string import_from;
+  std::vector<int64_t>  part_keys;
 
   _Dispatch__isset __isset;
 
@@ -671,6 +674,8 @@
 
   void __set_import_from(const std::string& val);
 
+  void __set_part_keys(const std::vector<int64_t> & val);
+
   bool operator == (const Dispatch & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -725,6 +730,8 @@
       return false;
     if (!(import_from == rhs.import_from))
       return false;
+    if (!(part_keys == rhs.part_keys))
+      return false;
     return true;
   }
   bool operator != (const Dispatch &rhs) const {
--- a/wire/include/wire/codec.h
+++ b/wire/include/wire/codec.h
@@ -58,7 +58,8 @@
                              ShareReport,
                              Order,
                              OrderResult,
-                             StreamCredit>;
+                             StreamCredit,
+                             CrashFacts>;
 
 /** Why bytes from a peer could not be decoded. */
 enum class WireError {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -23,7 +23,8 @@
   kCancelled = 13,
   kNoBackend = 14,
   kLateAnswer = 15,
-  kLimit = 16
+  kLimit = 16,
+  kQuarantinedPart = 17
 }
 
 enum Role { kEntry = 1, kAgent = 2 }
@@ -64,7 +65,7 @@
   16: bool repeatable, 17: string idempotency_key, 18: i64 wait_limit_us,
   19: i64 prompt_tokens, 20: i64 output_tokens, 21: string traceparent,
   22: bool second_attempt, 23: double weight, 24: bool long_work,
-  25: i32 priority, 26: string import_from
+  25: i32 priority, 26: string import_from, 27: list<i64> part_keys
 }
 
 struct ReplyHead {
