Bound what an instance alone keeps of crashes

Operators saw: nothing yet; found while reading the change for its bound in memory. Cause: news for other instances is dropped when it is taken, and a gateway without peers never takes it. The times of the last crash of each suspect outlived crashes that were dropped for their number. Change: each list of news holds at most 256 entries, the newest, and a dropped crash takes the times of its suspects with it. Measured: CrashAttributionTest.KeepsBoundedMemory failed before (100,000 crashes in the news, 256 allowed; news of a sound answer to a part of a crash that had been dropped) and passes.

--- a/coordination/src/crash_attribution.cc
+++ b/coordination/src/crash_attribution.cc
@@ -26,6 +26,17 @@
 // Differences in reported times below this are due to rounding and transport.
 constexpr milliseconds kTimeTolerance{1000};
 constexpr int kMaxDoublings = 16;
+// Limit on each list of news, of which the oldest are dropped if nobody takes
+// them.
+constexpr std::size_t kMaxNews = 256;
+
+template <typename T>
+void AddNews(std::vector<T>& news, T item) {
+  if (news.size() == kMaxNews) {
+    news.erase(news.begin());
+  }
+  news.push_back(std::move(item));
+}
 
 // The last sound answer of each part, bounded by dropping the least recently
 // used parts.
@@ -120,10 +131,10 @@
       crash.suspects.resize(
           std::min(crash.suspects.size(), limits.max_suspects));
       OnNewSuspects(crash.suspects, crash.at);
-      news.crashes.push_back(crash);
+      AddNews(news.crashes, crash);
       crashes.insert(after, std::move(crash));
       if (crashes.size() > limits.max_crashes) {
-        crashes.pop_front();
+        DropOldestCrash();
       }
     } else {
       AddSuspects(*same, crash.suspects);
@@ -142,7 +153,7 @@
     }
     if (!added.suspects.empty()) {
       OnNewSuspects(added.suspects, known.at);
-      news.crashes.push_back(std::move(added));
+      AddNews(news.crashes, std::move(added));
     }
   }
 
@@ -153,7 +164,7 @@
       last = std::max(last, at);
       ExtendQuarantine(it, at);
       if (const auto answered = sound.Find(it)) {
-        news.sound.push_back({it, *answered});
+        AddNews(news.sound, {it, *answered});
       }
     }
   }
@@ -166,30 +177,30 @@
       const bool clears =
           suspected->second < at && (!before || *before <= suspected->second);
       if (!before || clears) {
-        news.sound.push_back({part, at});
+        AddNews(news.sound, {part, at});
         changed = true;
       }
     }
     const auto held = quarantines.find(part);
     if (held != quarantines.end() && at > held->second.since) {
       quarantines.erase(held);
-      freed_news.push_back(part);
-      news.sound.push_back({part, at});
+      AddNews(freed_news, part);
+      AddNews(news.sound, {part, at});
     }
   }
 
   void AddQuarantine(const Quarantine& quarantine) {
     const auto answered = sound.Find(quarantine.part);
     if (answered && *answered > quarantine.since) {
-      news.sound.push_back({quarantine.part, *answered});
+      AddNews(news.sound, {quarantine.part, *answered});
       return;
     }
     auto found = quarantines.find(quarantine.part);
     if (found == quarantines.end()) {
       if (quarantines.size() < limits.max_quarantines) {
         quarantines.emplace(quarantine.part, quarantine);
-        news.quarantines.push_back(quarantine);
-        quarantined_news.push_back(quarantine);
+        AddNews(news.quarantines, quarantine);
+        AddNews(quarantined_news, quarantine);
       }
       return;
     }
@@ -197,24 +208,32 @@
     const bool longer = quarantine.until > known.until + kTimeTolerance;
     const bool held = quarantine.held_until > known.held_until + kTimeTolerance;
     if (longer) {
-      quarantined_news.push_back(quarantine);
+      AddNews(quarantined_news, quarantine);
     }
     known.level = std::max(known.level, quarantine.level);
     known.until = std::max(known.until, quarantine.until);
     known.held_until = std::max(known.held_until, quarantine.held_until);
     if (longer || held) {
-      news.quarantines.push_back(known);
+      AddNews(news.quarantines, known);
     }
   }
 
+  void DropOldestCrash() {
+    const Crash& oldest = crashes.front();
+    for (const PartKey it : oldest.suspects) {
+      const auto found = last_crash.find(it);
+      if (found != last_crash.end() && found->second <= oldest.at) {
+        last_crash.erase(found);
+      }
+    }
+    crashes.pop_front();
+  }
+
   // Drops what is too old to matter.
   void Forget(TimePoint now) {
     while (!crashes.empty() && now - crashes.front().at > limits.memory) {
-      crashes.pop_front();
+      DropOldestCrash();
     }
-    std::erase_if(last_crash, [&](const auto& it) {
-      return now - it.second > limits.memory;
-    });
     std::erase_if(quarantines, [now](const auto& it) {
       return IsForgotten(it.second, now);
     });
@@ -246,8 +265,8 @@
     ++held.crashes;
     held.since = crashed_at;
     held.until = crashed_at + TermOf(held.level);
-    news.quarantines.push_back(held);
-    quarantined_news.push_back(held);
+    AddNews(news.quarantines, held);
+    AddNews(quarantined_news, held);
   }
 
   bool IsExplained(const CrashGroup& group) const {
@@ -403,7 +422,7 @@
     const auto found = impl_->quarantines.find(part);
     if (found != impl_->quarantines.end()) {
       found->second.held_until = now + impl_->limits.probe_time;
-      impl_->news.quarantines.push_back(found->second);
+      AddNews(impl_->news.quarantines, found->second);
     }
   }
   return verdict;
--- a/coordination/tests/correctness/crash_attribution_test.cc
+++ b/coordination/tests/correctness/crash_attribution_test.cc
@@ -154,6 +154,18 @@
   }
   EXPECT_LE(small.quarantines(now_).size(), limits.max_quarantines);
   EXPECT_LE(small.Current(now_).crashes.size(), limits.max_crashes);
+  {
+    SCOPED_TRACE("also of news that nobody takes");
+    const CrashFacts news = small.TakeNews();
+    EXPECT_LE(news.crashes.size(), limits.max_crashes);
+    EXPECT_LE(news.sound.size(), limits.max_crashes);
+    EXPECT_LE(news.quarantines.size(), limits.max_crashes);
+  }
+  {
+    SCOPED_TRACE("and of suspects of crashes that were dropped");
+    small.OnSound(std::array<PartKey, 1>{1}, now_);
+    EXPECT_TRUE(small.TakeNews().sound.empty());
+  }
 }
 
 // Instances that exchange what they know, some datagrams being lost.
