Find several parts that crash servers at the same time

Callers saw: with three or more such parts in use at once, none was found, and servers kept crashing. Cause: a part had to be in half of all crashes since its first one. Each of three by turns is in a third. Change: the parts with enough crashes must explain half of them together. Measured: CrashAttributionTest.FindsSeveralPartsThatCrashServersByTurns (five parts) failed before and passes.

--- a/coordination/src/crash_attribution.cc
+++ b/coordination/src/crash_attribution.cc
@@ -81,17 +81,18 @@
 struct Evidence {
   PartKey part = 0;
   bool was_sound = false;
-  int crashes = 0;  // Groups.
-  std::size_t first_group = 0;
+  std::vector<std::size_t> groups;  // That have the part, ascending.
   std::set<std::uint64_t> servers;
+
+  int crashes() const { return static_cast<int>(groups.size()); }
 };
 
 bool IsStronger(const Evidence& a, const Evidence& b) {
   if (a.was_sound != b.was_sound) {
     return b.was_sound;
   }
-  if (a.crashes != b.crashes) {
-    return a.crashes > b.crashes;
+  if (a.crashes() != b.crashes()) {
+    return a.crashes() > b.crashes();
   }
   return a.part < b.part;
 }
@@ -300,7 +301,6 @@
       std::span<const CrashGroup> groups) const {
     std::unordered_map<PartKey, Evidence> evidence;
     for (std::size_t i = 0; i < groups.size(); ++i) {
-      std::set<PartKey> counted;
       for (const Crash* crash : groups[i].crashes) {
         for (const PartKey part : crash->suspects) {
           const auto answered = sound.Find(part);
@@ -308,12 +308,11 @@
             continue;
           }
           Evidence& it = evidence[part];
-          if (it.crashes == 0) {
-            it.part = part;
-            it.was_sound = answered.has_value();
-            it.first_group = i;
+          it.part = part;
+          it.was_sound = answered.has_value();
+          if (it.groups.empty() || it.groups.back() != i) {
+            it.groups.push_back(i);
           }
-          it.crashes += counted.insert(part).second ? 1 : 0;
           it.servers.insert(crash->server);
         }
       }
@@ -321,25 +320,44 @@
     return evidence;
   }
 
-  bool IsSufficient(const Evidence& it, std::size_t groups) const {
+  bool HasEnoughCrashes(const Evidence& it) const {
     const bool doubtful = it.was_sound || it.servers.size() < 2;
-    const int needed =
-        doubtful ? limits.min_crashes_of_sound_part : limits.min_crashes;
-    const auto since = static_cast<double>(groups - it.first_group);
-    return it.crashes >= needed && it.crashes >= limits.min_share * since;
+    return it.crashes() >= (doubtful ? limits.min_crashes_of_sound_part
+                                     : limits.min_crashes);
+  }
+
+  // Whether most of the crashes since the first one with the part are
+  // `explained`. Several parts may crash servers by turns, so each need not be
+  // in most of them.
+  bool IsPartOfMost(const Evidence& it,
+                    const std::vector<bool>& explained) const {
+    const auto first =
+        explained.begin() + static_cast<std::ptrdiff_t>(it.groups.front());
+    const auto n = static_cast<double>(explained.end() - first);
+    return static_cast<double>(std::count(first, explained.end(), true)) >=
+           limits.min_share * n;
   }
 
   // The part that most likely causes the unexplained crashes.
   std::optional<Evidence> FindCause(TimePoint now) const {
     const auto groups = UnexplainedGroups(now);
-    std::optional<Evidence> cause;
-    for (const auto& [part, it] : Collect(groups)) {
-      if (IsSufficient(it, groups.size()) &&
-          (!cause || IsStronger(it, *cause))) {
-        cause = it;
+    std::vector<Evidence> suspects;
+    std::vector<bool> explained(groups.size());
+    for (auto& [part, it] : Collect(groups)) {
+      if (HasEnoughCrashes(it)) {
+        for (const std::size_t group : it.groups) {
+          explained[group] = true;
+        }
+        suspects.push_back(std::move(it));
       }
     }
-    return cause;
+    std::erase_if(suspects, [&](const Evidence& it) {
+      return !IsPartOfMost(it, explained);
+    });
+    const auto strongest =
+        std::min_element(suspects.begin(), suspects.end(), IsStronger);
+    return strongest == suspects.end() ? std::nullopt
+                                       : std::optional(*strongest);
   }
 
   void Evaluate(TimePoint now) {
@@ -357,7 +375,7 @@
       held.part = cause->part;
       held.since = now;
       held.until = now + TermOf(0);
-      held.crashes = cause->crashes;
+      held.crashes = cause->crashes();
       held.servers = static_cast<int>(cause->servers.size());
       AddQuarantine(held);
     }
--- a/coordination/tests/correctness/crash_attribution_test.cc
+++ b/coordination/tests/correctness/crash_attribution_test.cc
@@ -95,6 +95,20 @@
   EXPECT_EQ(Check({kShared}), PartState::kFree);
 }
 
+TEST_F(CrashAttributionTest, FindsSeveralPartsThatCrashServersByTurns) {
+  constexpr PartKey kParts = 5;
+  for (PartKey i = 0; i < 6 * kParts; ++i) {
+    Crash(next_server_++, {kShared, 100 + i % kParts});
+    Wait(milliseconds(200));
+    Answer({kShared, kOther});
+  }
+  Wait(milliseconds(300));
+  for (PartKey i = 0; i < kParts; ++i) {
+    EXPECT_EQ(Check({kShared, 100 + i}), PartState::kQuarantined) << i;
+  }
+  EXPECT_EQ(Check({kShared, kOther}), PartState::kFree);
+}
+
 TEST_F(CrashAttributionTest, BlamesNoPartForServersThatLosePowerTogether) {
   for (PartKey i = 0; i < 30; ++i) {
     Crash(10 + i, {kShared, kOther});
