Blame the last of the parts that crashes always had together

Callers saw: if all requests with a first part also had the deadly one, either of the two was refused; if it was the first, sound requests with it were held back. Cause: parts with the same evidence were told apart by the value of their keys. Change: of such parts the last in the request is blamed: what follows a part is in fewer other requests. Suspects keep the order of their request. Measured: CrashAttributionTest.SparesAPartThatOnlyLeadsToTheOneBlamed failed before and passes.

--- a/coordination/include/coordination/crash_attribution.h
+++ b/coordination/include/coordination/crash_attribution.h
@@ -54,7 +54,7 @@
 struct Crash {
   std::uint64_t server = 0;  // Identifies the server by its address.
   TimePoint at{};
-  std::vector<PartKey> suspects;
+  std::vector<PartKey> suspects;  // Those of a request in their order.
 };
 
 /** The last known sound answer to a request with a part. */
--- a/coordination/src/crash_attribution.cc
+++ b/coordination/src/crash_attribution.cc
@@ -82,6 +82,7 @@
   PartKey part = 0;
   bool was_sound = false;
   std::vector<std::size_t> groups;  // That have the part, ascending.
+  std::size_t position = 0;  // In the suspects of the last crash.
   std::set<std::uint64_t> servers;
 
   int crashes() const { return static_cast<int>(groups.size()); }
@@ -94,6 +95,10 @@
   if (a.crashes() != b.crashes()) {
     return a.crashes() > b.crashes();
   }
+  // Parts that always came together: the later one is in fewer other requests.
+  if (a.position != b.position) {
+    return a.position > b.position;
+  }
   return a.part < b.part;
 }
 
@@ -302,13 +307,15 @@
     std::unordered_map<PartKey, Evidence> evidence;
     for (std::size_t i = 0; i < groups.size(); ++i) {
       for (const Crash* crash : groups[i].crashes) {
-        for (const PartKey part : crash->suspects) {
+        for (std::size_t n = 0; n < crash->suspects.size(); ++n) {
+          const PartKey part = crash->suspects[n];
           const auto answered = sound.Find(part);
           if (answered && *answered > crash->at) {
             continue;
           }
           Evidence& it = evidence[part];
           it.part = part;
+          it.position = n;
           it.was_sound = answered.has_value();
           if (it.groups.empty() || it.groups.back() != i) {
             it.groups.push_back(i);
--- a/coordination/tests/correctness/crash_attribution_test.cc
+++ b/coordination/tests/correctness/crash_attribution_test.cc
@@ -109,6 +109,18 @@
   EXPECT_EQ(Check({kShared, kOther}), PartState::kFree);
 }
 
+TEST_F(CrashAttributionTest, SparesAPartThatOnlyLeadsToTheOneBlamed) {
+  // Nothing else with the first part was ever sent; keys in both orders.
+  for (const auto& parts : {std::vector<PartKey>{7, 8}, {18, 17}}) {
+    for (int i = 0; i < 5; ++i) {
+      Crash(next_server_++, parts);
+      Wait(milliseconds(400));
+    }
+    EXPECT_EQ(Check({parts[0], kOther}), PartState::kFree);
+    EXPECT_EQ(Check(parts), PartState::kQuarantined);
+  }
+}
+
 TEST_F(CrashAttributionTest, BlamesNoPartForServersThatLosePowerTogether) {
   for (PartKey i = 0; i < 30; ++i) {
     Crash(10 + i, {kShared, kOther});
