Find a part that crashes servers rarely

Callers saw: a part that crashed a server less than four times a minute was never found. Cause: crashes were forgotten after 60 s. Change: they are kept for ten minutes (still 256 at most) and dropped when a quarantine that they led to is over, so that they lead to no second one. Measured: CrashAttributionTest.FindsAPartThatComesOnceAMinute failed before and passes; BlamesNoPartAgainForTheCrashesOfAForgottenTerm passes.

--- a/coordination/include/coordination/crash_attribution.h
+++ b/coordination/include/coordination/crash_attribution.h
@@ -23,8 +23,8 @@
   /** Crashes with a part, and without a sound answer on it since, until the
    * part is quarantined. */
   int min_crashes = 4;
-  /** The same if the part had a sound answer in `memory` before them, or if all
-   * crashes are of one server. */
+  /** The same if the part had a sound answer before them, or if all crashes are
+   * of one server. */
   int min_crashes_of_sound_part = 8;
   /** Share of all crashes since the first one with the part that must have it
    * too. */
@@ -34,8 +34,9 @@
   /** Time in which sound answers on a part become known; younger crashes do not
    * count yet. */
   Duration settling = std::chrono::milliseconds(250);
-  /** Crashes and sound answers are forgotten after this time. */
-  Duration memory = std::chrono::seconds(60);
+  /** Crashes are forgotten after this time, and with the end of a quarantine
+   * that they led to. */
+  Duration memory = std::chrono::minutes(10);
   /** Duration of the first quarantine; doubled each time a server crashes on
    * the part afterwards. */
   Duration first_quarantine = std::chrono::seconds(60);
--- a/coordination/src/crash_attribution.cc
+++ b/coordination/src/crash_attribution.cc
@@ -240,11 +240,24 @@
     while (!crashes.empty() && now - crashes.front().at > limits.memory) {
       DropOldestCrash();
     }
-    std::erase_if(quarantines, [now](const auto& it) {
-      return IsForgotten(it.second, now);
+    std::erase_if(quarantines, [&](const auto& it) {
+      const bool forgotten = IsForgotten(it.second, now);
+      if (forgotten) {
+        DropEvidence(it.first, now);
+      }
+      return forgotten;
     });
   }
 
+  // The crashes before `end` no longer speak against the part.
+  void DropEvidence(PartKey part, TimePoint end) {
+    for (Crash& it : crashes) {
+      if (it.at < end) {
+        std::erase(it.suspects, part);
+      }
+    }
+  }
+
   // A part whose quarantine ended as long ago as it lasted starts anew.
   static bool IsForgotten(const Quarantine& held, TimePoint now) {
     return now > held.held_until && now - held.until > held.until - held.since;
@@ -264,6 +277,7 @@
     }
     Quarantine& held = found->second;
     if (IsForgotten(held, crashed_at)) {
+      DropEvidence(part, crashed_at);
       quarantines.erase(found);
       return;
     }
--- a/coordination/tests/correctness/crash_attribution_test.cc
+++ b/coordination/tests/correctness/crash_attribution_test.cc
@@ -121,6 +121,25 @@
   }
 }
 
+TEST_F(CrashAttributionTest, FindsAPartThatComesOnceAMinute) {
+  for (int i = 0; i < 5; ++i) {
+    Crash(next_server_++, {kShared, kDeadly});
+    Wait(seconds(30));
+    Answer({kShared, kOther});
+    Wait(seconds(30));
+  }
+  EXPECT_EQ(Check({kShared, kDeadly}), PartState::kQuarantined);
+}
+
+TEST_F(CrashAttributionTest, BlamesNoPartAgainForTheCrashesOfAForgottenTerm) {
+  CrashServers(4);
+  ASSERT_EQ(Check({kDeadly}), PartState::kQuarantined);
+  Wait(minutes(3));
+  Crash(next_server_++, {kOther});
+  Wait(seconds(1));
+  EXPECT_EQ(Check({kDeadly}), PartState::kFree);
+}
+
 TEST_F(CrashAttributionTest, BlamesNoPartForServersThatLosePowerTogether) {
   for (PartKey i = 0; i < 30; ++i) {
     Crash(10 + i, {kShared, kOther});
