Relay what is known of crashes to a few gateways, not to all

Cause: each gateway repeated what it heard of a crash, and what it concluded, to all its peers, so a crash cost a gateway bytes in proportion to the fleet. Change: CrashAttribution tells what an instance saw itself from what it heard or concluded.

--- a/control/src/crash_relay.cc
+++ b/control/src/crash_relay.cc
@@ -34,7 +34,9 @@
 
 void CrashRelay::Tick() {
   Report();
-  coordination::CrashFacts news = crashes_.TakeNews();
+  coordination::CrashNews taken = crashes_.TakeNews();
+  coordination::CrashFacts news =
+      coordination::Join(std::move(taken.own), std::move(taken.relayed));
   Send(last_news_, kFanOut);
   Send(news, kFanOut);
   last_news_ = std::move(news);
--- a/coordination/include/coordination/crash_attribution.h
+++ b/coordination/include/coordination/crash_attribution.h
@@ -86,6 +86,15 @@
   }
 };
 
+/** The facts of both. */
+CrashFacts Join(CrashFacts facts, CrashFacts more);
+
+/** What became known, for other instances. */
+struct CrashNews {
+  CrashFacts own;      // Seen by this instance; nobody else tells it.
+  CrashFacts relayed;  // From others, or concluded, as others may have done.
+};
+
 /** Whether requests with a part may be sent. */
 enum class PartState {
   kFree,
@@ -137,8 +146,8 @@
 
   /** Adds what another instance knows. */
   void Merge(const CrashFacts& facts, TimePoint now);
-  /** What became known since the last call, from this or other instances. */
-  CrashFacts TakeNews();
+  /** What became known since the last call. */
+  CrashNews TakeNews();
   /** All crashes and quarantines that still matter, for instances that missed
    * them. */
   CrashFacts Current(TimePoint now);
--- a/coordination/src/crash_attribution.cc
+++ b/coordination/src/crash_attribution.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
 #include <list>
 #include <set>
 #include <unordered_map>
@@ -82,7 +83,7 @@
   PartKey part = 0;
   bool was_sound = false;
   std::vector<std::size_t> groups;  // That have the part, ascending.
-  std::size_t position = 0;  // In the suspects of the last crash.
+  std::size_t position = 0;         // In the suspects of the last crash.
   std::set<std::uint64_t> servers;
 
   int crashes() const { return static_cast<int>(groups.size()); }
@@ -102,6 +103,12 @@
   return a.part < b.part;
 }
 
+template <typename T>
+void Append(std::vector<T>& list, std::vector<T> more) {
+  list.insert(list.end(), std::make_move_iterator(more.begin()),
+              std::make_move_iterator(more.end()));
+}
+
 bool HasSuspect(const Crash& crash, PartKey part) {
   return std::find(crash.suspects.begin(), crash.suspects.end(), part) !=
          crash.suspects.end();
@@ -109,6 +116,13 @@
 
 }  // namespace
 
+CrashFacts Join(CrashFacts facts, CrashFacts more) {
+  Append(facts.crashes, std::move(more.crashes));
+  Append(facts.sound, std::move(more.sound));
+  Append(facts.quarantines, std::move(more.quarantines));
+  return facts;
+}
+
 struct CrashAttribution::Impl {
   explicit Impl(CrashAttributionLimits limits)
       : limits(limits), sound(limits.max_sound_parts) {}
@@ -118,13 +132,13 @@
   SoundParts sound;
   std::unordered_map<PartKey, TimePoint> last_crash;  // Of each suspect.
   std::unordered_map<PartKey, Quarantine> quarantines;
-  CrashFacts news;
+  CrashNews news;
   std::vector<Quarantine> quarantined_news;
   std::vector<PartKey> freed_news;
   bool changed = false;
   TimePoint next_evaluation{};
 
-  void AddCrash(Crash crash) {
+  void AddCrash(Crash crash, CrashFacts& facts) {
     const auto same =
         std::find_if(crashes.begin(), crashes.end(), [&](const Crash& it) {
           return it.server == crash.server &&
@@ -136,19 +150,21 @@
           [](TimePoint at, const Crash& it) { return at < it.at; });
       crash.suspects.resize(
           std::min(crash.suspects.size(), limits.max_suspects));
-      OnNewSuspects(crash.suspects, crash.at);
-      AddNews(news.crashes, crash);
+      OnNewSuspects(crash.suspects, crash.at, facts);
+      AddNews(facts.crashes, crash);
       crashes.insert(after, std::move(crash));
       if (crashes.size() > limits.max_crashes) {
         DropOldestCrash();
       }
     } else {
-      AddSuspects(*same, crash.suspects);
+      AddSuspects(*same, crash.suspects, facts);
     }
     changed = true;
   }
 
-  void AddSuspects(Crash& known, std::span<const PartKey> suspects) {
+  void AddSuspects(Crash& known,
+                   std::span<const PartKey> suspects,
+                   CrashFacts& facts) {
     Crash added{known.server, known.at, {}};
     for (const PartKey it : suspects) {
       if (!HasSuspect(known, it) &&
@@ -158,24 +174,26 @@
       }
     }
     if (!added.suspects.empty()) {
-      OnNewSuspects(added.suspects, known.at);
-      AddNews(news.crashes, std::move(added));
+      OnNewSuspects(added.suspects, known.at, facts);
+      AddNews(facts.crashes, std::move(added));
     }
   }
 
   // Other instances may not know of earlier sound answers on a new suspect.
-  void OnNewSuspects(std::span<const PartKey> suspects, TimePoint at) {
+  void OnNewSuspects(std::span<const PartKey> suspects,
+                     TimePoint at,
+                     CrashFacts& facts) {
     for (const PartKey it : suspects) {
       TimePoint& last = last_crash[it];
       last = std::max(last, at);
       ExtendQuarantine(it, at);
       if (const auto answered = sound.Find(it)) {
-        AddNews(news.sound, {it, *answered});
+        AddNews(facts.sound, {it, *answered});
       }
     }
   }
 
-  void AddSound(PartKey part, TimePoint at) {
+  void AddSound(PartKey part, TimePoint at, CrashFacts& facts) {
     const auto before = sound.Find(part);
     sound.Touch(part, at);
     const auto suspected = last_crash.find(part);
@@ -183,7 +201,7 @@
       const bool clears =
           suspected->second < at && (!before || *before <= suspected->second);
       if (!before || clears) {
-        AddNews(news.sound, {part, at});
+        AddNews(facts.sound, {part, at});
         changed = true;
       }
     }
@@ -191,21 +209,21 @@
     if (held != quarantines.end() && at > held->second.since) {
       quarantines.erase(held);
       AddNews(freed_news, part);
-      AddNews(news.sound, {part, at});
+      AddNews(facts.sound, {part, at});
     }
   }
 
   void AddQuarantine(const Quarantine& quarantine) {
     const auto answered = sound.Find(quarantine.part);
     if (answered && *answered > quarantine.since) {
-      AddNews(news.sound, {quarantine.part, *answered});
+      AddNews(news.relayed.sound, {quarantine.part, *answered});
       return;
     }
     auto found = quarantines.find(quarantine.part);
     if (found == quarantines.end()) {
       if (quarantines.size() < limits.max_quarantines) {
         quarantines.emplace(quarantine.part, quarantine);
-        AddNews(news.quarantines, quarantine);
+        AddNews(news.relayed.quarantines, quarantine);
         AddNews(quarantined_news, quarantine);
       }
       return;
@@ -220,7 +238,7 @@
     known.until = std::max(known.until, quarantine.until);
     known.held_until = std::max(known.held_until, quarantine.held_until);
     if (longer || held) {
-      AddNews(news.quarantines, known);
+      AddNews(news.relayed.quarantines, known);
     }
   }
 
@@ -285,7 +303,7 @@
     ++held.crashes;
     held.since = crashed_at;
     held.until = crashed_at + TermOf(held.level);
-    AddNews(news.quarantines, held);
+    AddNews(news.relayed.quarantines, held);
     AddNews(quarantined_news, held);
   }
 
@@ -343,8 +361,8 @@
 
   bool HasEnoughCrashes(const Evidence& it) const {
     const bool doubtful = it.was_sound || it.servers.size() < 2;
-    return it.crashes() >= (doubtful ? limits.min_crashes_of_sound_part
-                                     : limits.min_crashes);
+    return it.crashes() >=
+           (doubtful ? limits.min_crashes_of_sound_part : limits.min_crashes);
   }
 
   // Whether most of the crashes since the first one with the part are
@@ -423,12 +441,12 @@
     }
   }
   crash.suspects = std::move(suspects);
-  it.AddCrash(std::move(crash));
+  it.AddCrash(std::move(crash), it.news.own);
 }
 
 void CrashAttribution::OnSound(std::span<const PartKey> parts, TimePoint now) {
   for (const PartKey it : parts) {
-    impl_->AddSound(it, now);
+    impl_->AddSound(it, now, impl_->news.own);
   }
 }
 
@@ -461,19 +479,20 @@
     const auto found = impl_->quarantines.find(part);
     if (found != impl_->quarantines.end()) {
       found->second.held_until = now + impl_->limits.probe_time;
-      AddNews(impl_->news.quarantines, found->second);
+      AddNews(impl_->news.own.quarantines, found->second);
     }
   }
   return verdict;
 }
 
 void CrashAttribution::Merge(const CrashFacts& facts, TimePoint now) {
+  CrashFacts& relayed = impl_->news.relayed;
   for (const SoundAnswer& it : facts.sound) {
-    impl_->AddSound(it.part, it.at);
+    impl_->AddSound(it.part, it.at, relayed);
   }
   for (const Crash& it : facts.crashes) {
     if (now - it.at <= impl_->limits.memory) {
-      impl_->AddCrash(it);
+      impl_->AddCrash(it, relayed);
     }
   }
   for (const Quarantine& it : facts.quarantines) {
@@ -481,7 +500,7 @@
   }
 }
 
-CrashFacts CrashAttribution::TakeNews() {
+CrashNews CrashAttribution::TakeNews() {
   return std::exchange(impl_->news, {});
 }
 
--- a/coordination/tests/correctness/crash_attribution_test.cc
+++ b/coordination/tests/correctness/crash_attribution_test.cc
@@ -201,15 +201,17 @@
   EXPECT_LE(small.Current(now_).crashes.size(), limits.max_crashes);
   {
     SCOPED_TRACE("also of news that nobody takes");
-    const CrashFacts news = small.TakeNews();
-    EXPECT_LE(news.crashes.size(), limits.max_crashes);
-    EXPECT_LE(news.sound.size(), limits.max_crashes);
-    EXPECT_LE(news.quarantines.size(), limits.max_crashes);
+    const CrashNews news = small.TakeNews();
+    for (const CrashFacts* it : {&news.own, &news.relayed}) {
+      EXPECT_LE(it->crashes.size(), limits.max_crashes);
+      EXPECT_LE(it->sound.size(), limits.max_crashes);
+      EXPECT_LE(it->quarantines.size(), limits.max_crashes);
+    }
   }
   {
     SCOPED_TRACE("and of suspects of crashes that were dropped");
     small.OnSound(std::array<PartKey, 1>{1}, now_);
-    EXPECT_TRUE(small.TakeNews().sound.empty());
+    EXPECT_TRUE(small.TakeNews().own.sound.empty());
   }
 }
 
@@ -227,10 +229,10 @@
     std::uniform_real_distribution<double> draw;
     const bool whole = ++rounds_ % 30 == 0;
     for (auto& from : list_) {
-      CrashFacts facts = from.TakeNews();
-      if (whole) {
-        facts = from.Current(now);
-      }
+      CrashNews news = from.TakeNews();
+      const CrashFacts facts =
+          whole ? from.Current(now)
+                : Join(std::move(news.own), std::move(news.relayed));
       for (auto& to : list_) {
         if (&to != &from && draw(random_) >= lost_) {
           to.Merge(facts, now);
--- a/gateway/src/crash_watch.cc
+++ b/gateway/src/crash_watch.cc
@@ -235,7 +235,7 @@
   impl_->Report();
 }
 
-coordination::CrashFacts CrashWatch::TakeNews() {
+coordination::CrashNews CrashWatch::TakeNews() {
   return impl_->attribution.TakeNews();
 }
 
--- a/gateway/src/crash_watch.h
+++ b/gateway/src/crash_watch.h
@@ -54,7 +54,7 @@
   /** Facts of another gateway. */
   void Merge(const coordination::CrashFacts& facts);
   /** Facts for the other gateways: what is new, or all that matters. */
-  coordination::CrashFacts TakeNews();
+  coordination::CrashNews TakeNews();
   coordination::CrashFacts Current();
 
  private:
--- a/gateway/src/usage_exchange.cc
+++ b/gateway/src/usage_exchange.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "coordination/ids.h"
+#include "crash_spread.h"
 #include "usage_peers.h"
 #include "wire/codec.h"
 #include "wire/crash_facts.h"
@@ -48,8 +49,8 @@
         own(std::move(own)),
         socket(context),
         timer(context),
-        incarnation(static_cast<std::int64_t>(coordination::NewId().low >> 1)) {
-  }
+        incarnation(static_cast<std::int64_t>(coordination::NewId().low >> 1)),
+        crash_spread(static_cast<std::uint64_t>(incarnation)) {}
 
   const coordination::Clock& clock;
   LoadBalancer& balancer;
@@ -59,6 +60,7 @@
   asio::steady_timer timer;
   std::int64_t incarnation;
   std::int64_t sequence = 0;
+  CrashSpread crash_spread;
   std::vector<udp::endpoint> peers;
   std::map<std::string, ServerUsage>
       reported;                // Usage last reported to the peers, by server.
@@ -137,32 +139,25 @@
       notice.prompts.push_back(std::move(prompt));
     }
     full_report_at = notice.whole ? now : full_report_at;
-    const coordination::CrashFacts facts = TakeFacts(notice.whole);
-    notice.crash_facts = wire::ToWire(facts, now);
-    const std::string bytes = wire::EncodeStruct(notice);
+    const CrashSpread::Messages facts = crash_spread.Next(
+        crashes.TakeNews(),
+        notice.whole ? crashes.Current() : coordination::CrashFacts(),
+        peers.size());
+    notice.crash_facts = wire::ToWire(facts.to_all, now);
     for (const udp::endpoint& it : peers) {
-      error_code ignored;  // Full reports repeat lost usage.
-      socket.send_to(asio::buffer(bytes), it, 0, ignored);
+      Send(notice, it);
     }
-    if (!was_idle || !reported.empty() || !facts.empty()) {
-      Schedule(kRepeatPeriod);
+    for (const std::size_t it : facts.few) {
+      SendFacts(facts.to_few, peers[it]);
     }
-  }
-
-  // What is new, with all that still matters if `whole`: datagrams get lost.
-  coordination::CrashFacts TakeFacts(bool whole) {
-    coordination::CrashFacts facts = crashes.TakeNews();
-    if (whole) {
-      coordination::CrashFacts current = crashes.Current();
-      facts.crashes = std::move(current.crashes);
-      facts.quarantines = std::move(current.quarantines);
+    if (!was_idle || !reported.empty() || !facts.to_all.empty() ||
+        !facts.to_few.empty()) {
+      Schedule(kRepeatPeriod);
     }
-    return facts;
   }
 
-  // Tells a gateway that has just started what it missed.
-  void SendFacts(const udp::endpoint& to) {
-    const coordination::CrashFacts facts = crashes.Current();
+  void SendFacts(const coordination::CrashFacts& facts,
+                 const udp::endpoint& to) {
     if (facts.empty()) {
       return;
     }
@@ -170,7 +165,11 @@
     notice.incarnation = incarnation;
     notice.sequence = ++sequence;
     notice.crash_facts = wire::ToWire(facts, clock.Now());
-    error_code ignored;  // Full reports repeat it.
+    Send(notice, to);
+  }
+
+  void Send(const wire::UseNotice& notice, const udp::endpoint& to) {
+    error_code ignored;  // What is lost is repeated.
     socket.send_to(asio::buffer(wire::EncodeStruct(notice)), to, 0, ignored);
   }
 
@@ -201,7 +200,8 @@
       return;  // A newer notice was already received.
     }
     if (it.incarnation != previous.incarnation) {
-      SendFacts(sender);
+      // The gateway has just started.
+      SendFacts(crashes.Current(), sender);
     }
     previous = {it.incarnation, it.sequence};
     crashes.Merge(wire::FromWire(it.crash_facts, clock.Now()));
