Answer what reached an entry before its planned stop

Callers saw: requests sent in the last moment before an entry stopped could be cut off without an answer. Cause: closing the listening socket resets the connections in its queue, and a request counted as open only once it had been read completely, so that a stop did not wait for the rest of one. Change: the HTTP server accepts what is queued before it closes the socket, and counts a request from its first byte. Measured: HttpServerTest.AnswersARequestInTheListenQueueWhenItStops and CountsARequestThatIsNotCompleteAsOpen failed before and pass.

--- a/runtime/include/runtime/http.h
+++ b/runtime/include/runtime/http.h
@@ -87,9 +87,11 @@
   std::uint16_t port() const;
   /** Disables keep-alive: each connection closes after its next response. */
   void StopKeeping();
-  /** Closes the listening socket. Requests in progress continue. */
+  /** Accepts what clients have connected, then closes the listening socket.
+   * Requests in progress continue. */
   void StopAccepting();
-  /** Number of requests in progress. Thread-safe. */
+  /** Number of requests in progress, also of those that have not been received
+   * completely. Thread-safe. */
   std::size_t open_requests() const;
 
  private:
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -33,6 +33,8 @@
 using asio::ip::tcp;
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+// Size of the first read of a request.
+constexpr std::size_t kReadBytes = 4 << 10;
 
 class Exchange : public HttpExchange {
  public:
@@ -144,6 +146,20 @@
   std::shared_ptr<std::string> unsent_head_ = std::make_shared<std::string>();
 };
 
+// Counts a request while it exists.
+class OpenRequest {
+ public:
+  explicit OpenRequest(std::atomic<std::size_t>& count) : count_(count) {
+    ++count_;
+  }
+  ~OpenRequest() { --count_; }
+  OpenRequest(const OpenRequest&) = delete;
+  OpenRequest& operator=(const OpenRequest&) = delete;
+
+ private:
+  std::atomic<std::size_t>& count_;
+};
+
 }  // namespace
 
 struct HttpServer::Impl : std::enable_shared_from_this<Impl> {
@@ -180,12 +196,30 @@
       if (ec) {
         continue;
       }
-      if (connections >= limits.connections) {
-        rejected.Add();
-        continue;
+      StartServing(self, std::move(socket));
+    }
+  }
+
+  void StartServing(std::shared_ptr<Impl> self, tcp::socket socket) {
+    if (connections >= limits.connections) {
+      rejected.Add();
+      return;
+    }
+    asio::co_spawn(context,
+                   Serve(std::move(self), beast::tcp_stream(std::move(socket))),
+                   asio::detached);
+  }
+
+  // Closing the listening socket would reset the connections in its queue.
+  void AcceptQueued() {
+    beast::error_code ec;
+    acceptor.non_blocking(true, ec);
+    while (!ec) {
+      tcp::socket socket(context);
+      acceptor.accept(socket, ec);
+      if (!ec) {
+        StartServing(shared_from_this(), std::move(socket));
       }
-      asio::co_spawn(context, Serve(self, beast::tcp_stream(std::move(socket))),
-                     asio::detached);
     }
   }
 
@@ -207,10 +241,21 @@
   // closed.
   asio::awaitable<bool> ServeOne(beast::tcp_stream& stream,
                                  beast::flat_buffer& buf) {
+    stream.expires_after(limits.read_timeout);
+    if (buf.size() == 0) {
+      auto [ec, n] =
+          co_await stream.async_read_some(buf.prepare(kReadBytes), kNoThrow);
+      if (ec) {
+        co_return false;
+      }
+      buf.commit(n);
+      stream.expires_after(limits.read_timeout);
+    }
+    // Counted from its first byte, so that a stop waits for the rest.
+    const OpenRequest open(open_requests);
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
-    stream.expires_after(limits.read_timeout);
     auto [ec, n] = co_await http::async_read(stream, buf, parser, kNoThrow);
     if (ec) {
       co_await RespondToBadRequest(stream, ec);
@@ -219,9 +264,7 @@
     HttpRequest request = parser.release();
     const bool keep_alive = request.keep_alive() && keep_alive_enabled;
     Exchange exchange(stream, limits, keep_alive);
-    open_requests.fetch_add(1);
     co_await handler(std::move(request), exchange);
-    open_requests.fetch_sub(1);
     co_return keep_alive&& exchange.alive();
   }
 
@@ -288,6 +331,7 @@
 void HttpServer::StopAccepting() {
   beast::error_code ignored;
   impl_->keep_alive_enabled = false;
+  impl_->AcceptQueued();
   impl_->acceptor.close(ignored);
 }
 
--- a/runtime/tests/error/http_server_test.cc
+++ b/runtime/tests/error/http_server_test.cc
@@ -1,8 +1,15 @@
 // Clients that send invalid or incomplete requests: each gets an error response
 // or a closed connection, and the server keeps serving other clients.
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <string>
+#include <thread>
+
 #include <gtest/gtest.h>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -16,6 +23,7 @@
 
 constexpr std::size_t kBodyLimit = 1024;
 constexpr std::size_t kHeaderLimit = 512;
+constexpr std::chrono::seconds kWait{5};
 
 class HttpServerTest : public testing::Test {
  protected:
@@ -64,6 +72,35 @@
     return response;
   }
 
+  // Sends the first `sent` bytes of a request, which reach the machine but not
+  // the server before it stops accepting connections, and then the others.
+  std::string ExchangeDuringStop(std::size_t sent) {
+    const std::string request =
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello";
+    sent = std::min(sent, request.size());
+    asio::io_context context;
+    tcp::socket socket(context);
+    boost::system::error_code ec;
+    std::promise<void> stopped;
+    asio::post(server_thread_.context(), [&] {
+      socket.connect({asio::ip::make_address("127.0.0.1"), server_.port()}, ec);
+      asio::write(socket, asio::buffer(request.substr(0, sent)), ec);
+      server_.StopAccepting();
+      stopped.set_value();
+    });
+    stopped.get_future().wait();
+    const auto end = std::chrono::steady_clock::now() + kWait;
+    while (sent < request.size() && server_.open_requests() == 0 &&
+           std::chrono::steady_clock::now() < end) {
+      std::this_thread::yield();
+    }
+    EXPECT_TRUE(sent == request.size() || server_.open_requests() == 1U);
+    asio::write(socket, asio::buffer(request.substr(sent)), ec);
+    std::string response;
+    asio::read(socket, asio::dynamic_buffer(response), ec);
+    return response;
+  }
+
   void ExpectStillServing() {
     const std::string response = Exchange(
         "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
@@ -117,5 +154,15 @@
             1U);
 }
 
+TEST_F(HttpServerTest, AnswersARequestInTheListenQueueWhenItStops) {
+  const std::string response = ExchangeDuringStop(std::string::npos);
+  EXPECT_TRUE(response.ends_with("hello")) << response;
+}
+
+TEST_F(HttpServerTest, CountsARequestThatIsNotCompleteAsOpen) {
+  const std::string response = ExchangeDuringStop(10);
+  EXPECT_TRUE(response.ends_with("hello")) << response;
+}
+
 }  // namespace
 }  // namespace peridotgate::runtime
