Answer what reached a gateway before its planned stop

Callers saw: requests sent in the last moment before a gateway stopped could be cut off without an answer. Cause: closing the listening socket resets the connections in its queue; idle connections were closed although bytes of a request might have arrived; a request counted as open only once it had been read completely; and the process did not wait for the traffic thread to have stopped accepting. Change: the gateway accepts what is queued before it closes the socket, reads what has arrived on idle connections before it closes them, and the process waits until no connection is left (or its time is over).

--- a/gateway/include/gateway/traffic.h
+++ b/gateway/include/gateway/traffic.h
@@ -35,8 +35,11 @@
 
   /** Closes each connection after its next response from now on. */
   void StopKeepAlive();
-  /** Closes the listening socket and idle connections. */
+  /** Accepts what callers have connected, then closes the listening socket and
+   * idle connections. Requests that have reached this machine are served. */
   void StopAccepting();
+  /** Whether nothing is left to serve after `StopAccepting`. Thread safe. */
+  bool drained() const;
   /** Number of requests being served. Thread safe. */
   std::size_t open_requests() const;
 
--- a/gateway/src/caller_connection.cc
+++ b/gateway/src/caller_connection.cc
@@ -29,6 +29,9 @@
 // Idle connections stay open this much longer than the idle timeout in the
 // rules, so that a late request does not arrive at a closing connection.
 constexpr Millis kIdleMargin{500};
+// Time for the first bytes of a request on a connection that was accepted while
+// the process stops.
+constexpr Millis kLastRequestTimeout{250};
 // Request bodies may use the process's memory divided by this, or the default
 // below if the size of the memory is unknown.
 constexpr std::size_t kBodyMemoryDivisor = 4;
@@ -81,6 +84,32 @@
   bool keep = true;
 };
 
+// Waits for the first bytes of a request; returns false when the connection is
+// over.
+asio::awaitable<bool> WaitForRequest(CallerStream& caller,
+                                     TrafficParts& parts,
+                                     Millis idle_timeout) {
+  if (caller.buf().size() > 0) {
+    co_return true;
+  }
+  beast::tcp_stream& stream = caller.stream();
+  stream.expires_after(parts.accepting ? idle_timeout + kIdleMargin
+                                       : kLastRequestTimeout);
+  parts.idle.insert(&caller);
+  const auto space = caller.buf().prepare(kReadBytes);
+  auto [ec, n] = co_await stream.async_read_some(space, kNoThrow);
+  parts.idle.erase(&caller);
+  if (ec == asio::error::operation_aborted) {
+    // A stop ended the wait, but a request may have arrived.
+    beast::error_code ignored;
+    if (stream.socket().available(ignored) > 0) {
+      n = stream.socket().read_some(space, ec);
+    }
+  }
+  caller.buf().commit(n);
+  co_return !ec;
+}
+
 // Reads the next request; returns nothing when the connection is over.
 // Malformed requests have been answered by then.
 asio::awaitable<std::optional<ReadRequest>> Read(CallerStream& caller,
@@ -91,16 +120,10 @@
   parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
   parser.body_limit(limits.body_bytes);
   beast::tcp_stream& stream = caller.stream();
-  if (caller.buf().size() == 0) {
-    stream.expires_after(limits.idle_timeout + kIdleMargin);
-    parts.idle.insert(&caller);
-    auto [ec, n] = co_await stream.async_read_some(
-        caller.buf().prepare(kReadBytes), kNoThrow);
-    parts.idle.erase(&caller);
-    if (ec) {
-      co_return std::nullopt;
-    }
-    caller.buf().commit(n);
+  const bool begun =
+      co_await WaitForRequest(caller, parts, limits.idle_timeout);
+  if (!begun) {
+    co_return std::nullopt;
   }
   ReadRequest request;
   request.began = parts.clock.Now();
@@ -152,7 +175,7 @@
 asio::awaitable<void> ServeCaller(std::shared_ptr<CallerStream> caller,
                                   TrafficParts& parts) {
   bool keep = true;
-  while (keep && parts.accepting) {
+  while (keep) {
     auto request = co_await Read(*caller, parts);
     if (!request) {
       break;
@@ -164,7 +187,7 @@
       Exchange exchange(parts, *caller, std::move(request->head),
                         std::move(request->body), request->began,
                         request->keep);
-      keep = co_await exchange.Run();
+      keep = co_await exchange.Run() && parts.accepting;
     }
     parts.body_bytes -= bytes;
     --parts.open_requests;
--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -231,7 +231,7 @@
     asio::post(traffic_duty_.context(), [this] { traffic_.StopAccepting(); });
     do {
       co_await Pause(kDrainPoll);
-    } while (traffic_.open_requests() > 0 && clock_.Now() < deadline);
+    } while (!traffic_.drained() && clock_.Now() < deadline);
     control_duty_.context().stop();
   }
 
--- a/gateway/src/traffic.cc
+++ b/gateway/src/traffic.cc
@@ -1,5 +1,6 @@
 #include "gateway/traffic.h"
 
+#include <exception>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -73,9 +74,27 @@
         co_await pause.async_wait(kNoThrow);
         continue;
       }
-      auto caller = std::make_shared<CallerStream>(std::move(socket));
-      asio::co_spawn(parts.context, ServeCaller(std::move(caller), parts),
-                     asio::detached);
+      Serve(std::move(socket));
+    }
+  }
+
+  void Serve(tcp::socket socket) {
+    ++parts.connections;
+    auto caller = std::make_shared<CallerStream>(std::move(socket));
+    asio::co_spawn(parts.context, ServeCaller(std::move(caller), parts),
+                   [this](const std::exception_ptr&) { --parts.connections; });
+  }
+
+  // Closing the listening socket would reset the connections in its queue.
+  void AcceptQueued() {
+    beast::error_code ec;
+    acceptor.non_blocking(true, ec);
+    while (!ec) {
+      tcp::socket socket(parts.context);
+      acceptor.accept(socket, ec);
+      if (!ec) {
+        Serve(std::move(socket));
+      }
     }
   }
 
@@ -155,6 +174,7 @@
 void Traffic::StopAccepting() {
   Impl& it = *impl_;
   beast::error_code ignored;
+  it.AcceptQueued();
   it.acceptor.close(ignored);
   it.parts.accepting = false;
   for (CallerStream* caller : it.parts.idle) {
@@ -162,6 +182,10 @@
   }
 }
 
+bool Traffic::drained() const {
+  return !impl_->parts.accepting && impl_->parts.connections == 0;
+}
+
 std::size_t Traffic::open_requests() const {
   return impl_->parts.open_requests.load();
 }
--- a/gateway/src/traffic_parts.h
+++ b/gateway/src/traffic_parts.h
@@ -25,7 +25,8 @@
 
 class CallerStream;
 
-/** One per process; used on the traffic thread only, apart from the atomic. */
+/** One per process; used on the traffic thread only, apart from the
+ * atomics. */
 struct TrafficParts {
   asio::io_context& context;
   const coordination::Clock& clock;
@@ -45,7 +46,8 @@
   // Called when the local usage changes.
   std::function<void()> on_usage_changed = {};
   bool keep_alive = true;
-  bool accepting = true;
+  std::atomic<bool> accepting{true};
+  std::atomic<std::size_t> connections{0};  // Of callers.
   std::atomic<std::size_t> open_requests{0};
 };
 
