Refuse calls with a part on which servers crash, at the entries

Callers saw: servers beside agents that had just started still crashed on a part that all others refused. Cause: only agents checked calls, and an agent that starts hears of quarantined parts 0.4 to 1.9 s later; entries, which know them, sent it such calls. Change: the entry's node tells its router which parts are quarantined, and the router refuses calls with them as not run before any attempt.

--- a/control/include/control/node.h
+++ b/control/include/control/node.h
@@ -43,6 +43,8 @@
   // The service that other servers gave to the organisations passed to
   // `SetServed`.
   std::function<void(const wire::ShareReport&)> on_remote_service = {};
+  // Parts of requests were quarantined or freed; see `crashes`.
+  std::function<void()> on_quarantines = [] {};
 };
 
 /**
--- a/control/src/crash_relay.cc
+++ b/control/src/crash_relay.cc
@@ -32,8 +32,8 @@
   crashes_.Merge(wire::FromWire(facts, now), now);
 }
 
-void CrashRelay::Tick() {
-  Report();
+bool CrashRelay::Tick() {
+  const bool changed = Report();
   coordination::CrashNews taken = crashes_.TakeNews();
   coordination::CrashFacts news =
       coordination::Join(std::move(taken.own), std::move(taken.relayed));
@@ -44,6 +44,7 @@
     next_repeat_ = clock_.Now() + kRepeatPeriod;
     Send(crashes_.Current(clock_.Now()), 1);
   }
+  return changed;
 }
 
 void CrashRelay::Send(const coordination::CrashFacts& facts,
@@ -57,18 +58,21 @@
   }
 }
 
-void CrashRelay::Report() {
+bool CrashRelay::Report() {
   const auto held = crashes_.quarantines(clock_.Now());
   quarantined_.Set(static_cast<std::int64_t>(held.size()));
-  for (const coordination::Quarantine& it : crashes_.TakeQuarantined()) {
+  const auto added = crashes_.TakeQuarantined();
+  for (const coordination::Quarantine& it : added) {
     runtime::LogStateChange(
         fmt::format("part {:016x}", it.part), "quarantined",
         fmt::format("{} crashes on {} servers", it.crashes, it.servers));
   }
-  for (const coordination::PartKey it : crashes_.TakeFreed()) {
+  const auto freed = crashes_.TakeFreed();
+  for (const coordination::PartKey it : freed) {
     runtime::LogStateChange(fmt::format("part {:016x}", it), "free",
                             "a request with it was answered");
   }
+  return !added.empty() || !freed.empty();
 }
 
 }  // namespace peridotgate::control
--- a/control/src/crash_relay.h
+++ b/control/src/crash_relay.h
@@ -34,14 +34,15 @@
 
   void OnFacts(const wire::CrashFacts& facts);
 
-  /** Performs periodic work. Call about ten times a second. */
-  void Tick();
+  /** Performs periodic work. Call about ten times a second. Returns whether
+   * parts were quarantined or freed since the last call. */
+  bool Tick();
 
   coordination::CrashAttribution& crashes() { return crashes_; }
 
  private:
   void Send(const coordination::CrashFacts& facts, std::size_t receivers);
-  void Report();
+  bool Report();
 
   const coordination::PeerSource& peers_;
   const coordination::Clock& clock_;
--- a/control/src/node.cc
+++ b/control/src/node.cc
@@ -244,7 +244,9 @@
       members.Tick();
       bulk_links.Tick();
       share_relay.Tick();
-      crash_relay.Tick();
+      if (crash_relay.Tick()) {
+        hooks.on_quarantines();
+      }
       ReportVersionToEntry();
       NotifyIfMembersChanged();
       Flush();
--- a/entry/include/entry/messages.h
+++ b/entry/include/entry/messages.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "coordination/crash_attribution.h"
 #include "coordination/ids.h"
 #include "entry/rules_book.h"
 #include "platform/instance_list.h"
@@ -111,6 +112,7 @@
 struct ClusterView {
   std::shared_ptr<const RulesBook> rules;
   std::shared_ptr<const std::vector<platform::ListedInstance>> instances;
+  std::shared_ptr<const std::vector<coordination::Quarantine>> quarantines;
 };
 
 }  // namespace peridotgate::entry
--- a/entry/src/control.cc
+++ b/entry/src/control.cc
@@ -31,7 +31,8 @@
        const EntrySettings& settings,
        Publish publish_callback,
        runtime::Metrics& metrics)
-      : peers(settings.peers),
+      : clock(clock),
+        peers(settings.peers),
         publish(std::move(publish_callback)),
         socket(duty.context(),
                metrics,
@@ -47,10 +48,13 @@
              MakeNodeSettings(settings),
              socket,
              metrics,
-             {[this] { OnConfiguration(); }, [this] { OnMembers(); },
-              [](bool) {}}),
+             {.on_configuration_change = [this] { OnConfiguration(); },
+              .on_member_change = [this] { OnMembers(); },
+              .on_listed_leaving = [](bool) {},
+              .on_quarantines = [this] { OnQuarantines(); }}),
         orders(duty, clock, settings.table, node, metrics) {}
 
+  const coordination::Clock& clock;
   runtime::Endpoint peers;
   Publish publish;
   wire::DatagramSocket socket;
@@ -62,6 +66,8 @@
   std::shared_ptr<const RulesBook> rules = std::make_shared<RulesBook>();
   std::shared_ptr<const std::vector<platform::ListedInstance>> instances =
       std::make_shared<std::vector<platform::ListedInstance>>();
+  std::shared_ptr<const std::vector<coordination::Quarantine>> quarantines =
+      std::make_shared<std::vector<coordination::Quarantine>>();
 
   void OnLink(const std::shared_ptr<wire::Link>& link) {
     link->Start(
@@ -77,7 +83,13 @@
         std::make_shared<RulesBook>(in_force.version(), in_force.Snapshot());
     rules_version.store(in_force.version());
     orders.OnRules(rules);
-    publish(ClusterView{rules, instances});
+    publish(ClusterView{rules, instances, quarantines});
+  }
+
+  void OnQuarantines() {
+    quarantines = std::make_shared<std::vector<coordination::Quarantine>>(
+        node.crashes().quarantines(clock.Now()));
+    publish(ClusterView{rules, instances, quarantines});
   }
 
   void OnMembers() {
@@ -89,7 +101,7 @@
     servers_known.store(any_agent && node.settled());
     instances = std::make_shared<std::vector<platform::ListedInstance>>(
         std::move(directory));
-    publish(ClusterView{rules, instances});
+    publish(ClusterView{rules, instances, quarantines});
   }
 };
 
--- a/entry/src/router.cc
+++ b/entry/src/router.cc
@@ -11,6 +11,7 @@
 #include "call_state.h"
 #include "canceller.h"
 #include "fleet.h"
+#include "quarantined_parts.h"
 #include "revoker.h"
 #include "second_attempts.h"
 #include "selector.h"
@@ -70,6 +71,7 @@
   CallRelay relay;
   Revoker revoker;
   AttemptRunner runner;
+  QuarantinedParts quarantined;
   std::unordered_map<Id128, std::shared_ptr<CallState>> calls;
 
   asio::awaitable<void> Pause(std::chrono::microseconds time) {
@@ -92,7 +94,8 @@
     }
     selector.OnCall(state.call);
     second_attempts.OnCall(state.call);
-    while (state.attempts < kMaxAttempts && !state.dropped) {
+    while (state.attempts < kMaxAttempts && !state.dropped &&
+           !IsRefusedForAPart(state)) {
       auto selected = co_await selector.Select(state.call, state.refused_by);
       if (!selected && MayRetryAllServers(state)) {
         ++state.attempts;
@@ -119,6 +122,23 @@
     }
   }
 
+  // Whether servers crash on a part of the call, which must not reach them
+  // then.
+  bool IsRefusedForAPart(CallState& state) const {
+    const wire::Dispatch& dispatch = state.call.dispatch;
+    const Duration left = quarantined.TimeLeft(dispatch.part_keys, clock.Now());
+    if (left <= Duration(0)) {
+      return false;
+    }
+    wire::Refusal& refusal = state.last_refusal.emplace();
+    refusal.outcome = wire::Outcome::kNotRun;
+    refusal.reason = wire::Reason::kQuarantinedPart;
+    refusal.detail = "servers crashed on a part of it";
+    refusal.retry_after_ms =
+        std::chrono::ceil<std::chrono::milliseconds>(left).count();
+    return true;
+  }
+
   // If the agent refused the call because this entry's rules are older, makes
   // the entry fetch the newer rules from that agent.
   void RequestNewerRules(const CallState& state,
@@ -252,6 +272,7 @@
 
 void Router::OnClusterView(const ClusterView& view) {
   impl_->fleet.Update(*view.instances);
+  impl_->quarantined.Update(*view.quarantines);
 }
 
 }  // namespace peridotgate::entry
--- a/entry/tests/router_harness.h
+++ b/entry/tests/router_harness.h
@@ -87,8 +87,10 @@
     router.Listen(FreeEndpoint(duty.context()), error);
   }
 
-  /** Sets the agents of the service "desk". */
-  void SetAgents(const std::vector<runtime::Endpoint>& agents) {
+  /** Sets the agents of the service "desk", and the parts of prompts on which
+   * servers crash. */
+  void SetAgents(const std::vector<runtime::Endpoint>& agents,
+                 std::vector<coordination::Quarantine> quarantines = {}) {
     auto list = std::make_shared<std::vector<platform::ListedInstance>>();
     for (const runtime::Endpoint& it : agents) {
       list->push_back({"agent-" + std::to_string(it.port), "agent", "dc-0", it,
@@ -96,11 +98,15 @@
     }
     ClusterView view;
     view.instances = std::move(list);
+    view.quarantines = std::make_shared<std::vector<coordination::Quarantine>>(
+        std::move(quarantines));
     router.OnClusterView(view);
   }
 
   /** Starts to route a call; does not run the event loop. */
-  void Route(const Id128& id, bool repeatable) {
+  void Route(const Id128& id,
+             bool repeatable,
+             std::vector<std::int64_t> part_keys = {}) {
     RouteCall call;
     call.request_id = id;
     call.dispatch.organisation = "brazos";
@@ -108,6 +114,7 @@
     call.dispatch.repeatable = repeatable;
     call.dispatch.streamed = repeatable;
     call.dispatch.wait_limit_us = 1000000;
+    call.dispatch.part_keys = std::move(part_keys);
     router.OnCommand(std::move(call));
   }
 
