Prove with whole processes that a deadly part crashes few engines

Cause: the attribution of crashes was proved for entries and agents by tests of their parts alone. Change: the property deadly_part: six engines that exit when they begin an answer to a prompt with one message, sound calls with the same first message, agents and engines killed, datagrams lost.

--- a/testing/prove/caller.cc
+++ b/testing/prove/caller.cc
@@ -25,11 +25,15 @@
 }
 
 json::object ChatBody(const ChatCall& call) {
-  return {
-      {"model", "horn-1"},
-      {"stream", true},
-      {"max_tokens", call.tokens},
-      {"messages", json::array{{{"role", "user"}, {"content", call.prompt}}}}};
+  json::array messages;
+  for (const std::string& it : call.leading) {
+    messages.push_back({{"role", "system"}, {"content", it}});
+  }
+  messages.push_back({{"role", "user"}, {"content", call.prompt}});
+  return {{"model", "horn-1"},
+          {"stream", true},
+          {"max_tokens", call.tokens},
+          {"messages", std::move(messages)}};
 }
 
 std::string StringField(const json::value& value, std::string_view key) {
@@ -195,7 +199,9 @@
   ChatSink sink(context, call, out);
   auto ended = co_await client.Stream(std::move(request), sink, kIdleTimeout);
   if (out.status != 200) {
-    out.outcome = StringField(Parse(sink.rest()), "outcome");
+    const json::value problem = Parse(sink.rest());
+    out.outcome = StringField(problem, "outcome");
+    out.title = StringField(problem, "title");
   }
   out.timed_out = !ended && ended.error() == runtime::HttpError::kTimeout;
   out.connection_lost = !ended.has_value() && !out.done && !out.error;
--- a/testing/prove/caller.h
+++ b/testing/prove/caller.h
@@ -58,6 +58,7 @@
 
 /** A streamed chat. */
 struct ChatCall {
+  std::vector<std::string> leading;  // Messages before the prompt.
   std::string prompt;
   std::int64_t tokens = 64;
   std::int64_t hang_up_after = -1;          // Number of events; -1: never.
@@ -76,6 +77,7 @@
   bool timed_out = false;        // No data within the idle timeout.
   bool connection_lost = false;  // Closed before [DONE] or an error event.
   std::string outcome;           // From a refusal or an error event.
+  std::string title;             // From a refusal.
 };
 
 asio::awaitable<StreamResult> CallChat(asio::io_context& context,
--- a/testing/prove/properties/properties.h
+++ b/testing/prove/properties/properties.h
@@ -43,6 +43,13 @@
 asio::awaitable<void> OwnAnswer(Run& run);
 /** A second attempt on another server answers for a stalled one. */
 asio::awaitable<void> SecondAttemptsAnswer(Run& run);
+/**
+ * A part of prompts that crashes engines reaches few of them; other calls are
+ * served.
+ */
+asio::awaitable<void> DeadlyPart(Run& run);
+/** The message that crashes engines in `DeadlyPart`. */
+inline constexpr std::string_view kDeadlyPartOfPrompt = "sheet that crashes";
 /** Long prompts do not delay short prompts that wait at the same engine. */
 asio::awaitable<void> ShortBehindLong(Run& run);
 /** A slow engine receives less work while it is slow. */
--- a/testing/prove/property.cc
+++ b/testing/prove/property.cc
@@ -30,6 +30,11 @@
   options.engines = 3;
 }
 
+void SixEnginesThatAPartCrashes(FleetOptions& options) {
+  options.engines = 6;
+  options.crash_on = kDeadlyPartOfPrompt;
+}
+
 void ThreeSlowEngines(FleetOptions& options) {
   options.engines = 3;
   options.token_us = 20000;
@@ -58,6 +63,7 @@
     Property{"listed_leaving", &ThreeEngines, &ListedLeaving},
     Property{"own_answer", &ThreeOfEach, &OwnAnswer},
     Property{"second_attempts", &ThreeEngines, &SecondAttemptsAnswer},
+    Property{"deadly_part", &SixEnginesThatAPartCrashes, &DeadlyPart},
     Property{"cache_scope", &OneEngine, &CacheScope},
     Property{"configuration_everywhere", nullptr, &ConfigurationEverywhere},
     Property{"configuration_never_reverts", nullptr,
--- a/testing/prove/test_fleet.cc
+++ b/testing/prove/test_fleet.cc
@@ -120,6 +120,10 @@
       "--listen", ToString(it.server_address),
       engine ? "--token-us" : "--service-us",
       std::to_string(engine ? options_.token_us : options_.service_us)};
+  if (engine && !options_.crash_on.empty()) {
+    it.server_command.emplace_back("--crash-on");
+    it.server_command.push_back(options_.crash_on);
+  }
   if (engine && index % 2 == 1) {
     it.server_command.emplace_back("--check-fencing");
   }
--- a/testing/prove/test_fleet.h
+++ b/testing/prove/test_fleet.h
@@ -32,6 +32,7 @@
   std::size_t entries = 2;
   std::int64_t token_us = 3000;
   std::int64_t service_us = 5000;
+  std::string crash_on;  // Prompts with this text crash engines.
 };
 
 /** Faults of the stand-in platform. */
--- a/testing/standins/engine_main.cc
+++ b/testing/standins/engine_main.cc
@@ -1,7 +1,9 @@
 // A stand-in for a model engine: completions as JSON or server-sent events that
 // can resume at a position, and a prefix cache that publishes events.
+#include <cstdlib>
 #include <memory>
 #include <random>
+#include <string>
 #include <vector>
 
 #include <spdlog/fmt/fmt.h>
@@ -25,6 +27,7 @@
   std::int64_t token_us = 2000;
   std::int64_t load_us = 300000;
   bool check_fencing = false;
+  std::string crash_on;
 };
 
 class Engine {
@@ -263,6 +266,10 @@
                                    HttpExchange& exchange) {
     co_await exchange.BeginStream(
         runtime::MakeResponse(http::status::ok, "", "text/event-stream"));
+    if (!options_.crash_on.empty() &&
+        it.prompt.find(options_.crash_on) != std::string::npos) {
+      std::_Exit(kCrashStatus);
+    }
     for (std::int64_t i = it.resume_position; i < it.tokens; ++i) {
       RecordWork(it, options_.token_us);
       co_await Sleep(context_, TokenTime());
@@ -328,6 +335,8 @@
   app.add_option("--token-us", options.token_us);
   app.add_option("--load-us", options.load_us);
   app.add_flag("--check-fencing", options.check_fencing);
+  app.add_option("--crash-on", options.crash_on,
+                 "crash when an answer to a prompt with this text begins");
   CLI11_PARSE(app, argc, argv);
   boost::asio::io_context context(1);
   peridotgate::standins::Engine engine(context, options);
--- a/testing/standins/engine_model.h
+++ b/testing/standins/engine_model.h
@@ -21,6 +21,9 @@
 /** The `index`-th output token for `prompt`; the same on every engine. */
 std::string TokenAt(std::string_view prompt, std::int64_t index);
 
+/** Exit status of an engine that crashed on a prompt. */
+inline constexpr int kCrashStatus = 70;
+
 /** The prompt text of a completion request. */
 std::string PromptOf(const boost::json::object& body);
 
