--- a/gateway/tests/correctness/feed_plan_fleet_test.cc
+++ b/gateway/tests/correctness/feed_plan_fleet_test.cc
@@ -54,6 +54,7 @@
  public:
   Fleet(int gateways, int data_centres) {
     std::vector<PeerGateway> all;
+    all.reserve(static_cast<std::size_t>(gateways));
     for (int i = 0; i < gateways; ++i) {
       all.push_back(
           {{"10.0." + std::to_string(i / 200) + "." + std::to_string(i % 200),
