Forget the last crash of a part together with its evidence

Operators saw: nothing yet; found in a last read. Memory would have grown by one entry for each quarantine that was forgotten. Change: the time goes with the evidence. Measured: CrashAttributionTest.KeepsNothingOfAPartWhoseTermIsForgotten failed before and passes.

--- a/coordination/src/crash_attribution.cc
+++ b/coordination/src/crash_attribution.cc
@@ -269,6 +269,10 @@
 
   // The crashes before `end` no longer speak against the part.
   void DropEvidence(PartKey part, TimePoint end) {
+    const auto last = last_crash.find(part);
+    if (last != last_crash.end() && last->second < end) {
+      last_crash.erase(last);
+    }
     for (Crash& it : crashes) {
       if (it.at < end) {
         std::erase(it.suspects, part);
--- a/coordination/tests/correctness/crash_attribution_test.cc
+++ b/coordination/tests/correctness/crash_attribution_test.cc
@@ -140,6 +140,17 @@
   EXPECT_EQ(Check({kDeadly}), PartState::kFree);
 }
 
+TEST_F(CrashAttributionTest, KeepsNothingOfAPartWhoseTermIsForgotten) {
+  CrashServers(4);
+  ASSERT_EQ(Check({kDeadly}), PartState::kQuarantined);
+  Wait(minutes(3));
+  attribution_.Current(now_);
+  attribution_.TakeNews();
+  // An answer on a part is news only while a crash with it is remembered.
+  Answer({kDeadly});
+  EXPECT_TRUE(attribution_.TakeNews().own.sound.empty());
+}
+
 TEST_F(CrashAttributionTest, BlamesNoPartForServersThatLosePowerTogether) {
   for (PartKey i = 0; i < 30; ++i) {
     Crash(10 + i, {kShared, kOther});
