--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,10 +1,11 @@
-// An entry of another writer, with fields missing, lies beside the replicas'.
-// Exits with 1 if a caller's booking is sent to the program at its address.
+// A tenant becomes dedicated by a change of the configuration. Exits with 1 if
+// a request of another tenant then uses parts that the dedicated one made.
 #include <atomic>
 #include <cstdlib>
-#include <memory>
+#include <map>
+#include <mutex>
 #include <string>
-#include <thread>
+#include <utility>
 #include <vector>
 
 #include "../common/scenario.h"
@@ -12,114 +13,129 @@
 namespace review {
 namespace {
 
-constexpr int kCallers = 8;
-constexpr int kBookings = 20;  // Of each caller.
+// Shared parts below 1,024 tokens are placed by load alone.
+constexpr const char* kPrompt = "5c1e07a2:2520,91bd3f06:3780,";
+constexpr int kRounds = 6;
+// `config_deadline_ms` of brazos-line, and a second more.
 constexpr Millis kSettled{3000};
 
-std::string Config() {
-  constexpr std::int64_t kTimeoutMs = 800;
-  constexpr std::int64_t kObjectiveMs = 150;
+// A replica's kept parts: found under the same salt, behind the parts before.
+class Engine {
+ public:
+  Engine(Store& store, Record& record, const std::string& id)
+      : record_(record),
+        replica_(store,
+                 {.id = id, .service = "pool-a", .models = {{"m0", 1}}},
+                 [this](const Message& it, const ConnectionPtr& connection) {
+                   Run(it, connection);
+                 }) {
+    replica_.Register();
+  }
+
+  /** Uses of parts of tenant `maker` by tenant `user`. */
+  int Uses(const std::string& maker, const std::string& user) {
+    const std::lock_guard lock(mutex_);
+    return uses_[{maker, user}];
+  }
+
+ private:
+  void Run(const Message& request, const ConnectionPtr& connection) {
+    const std::string tenant = request.Header("Peridotgate-Tenant");
+    const std::string salt = request.Header("Peridotgate-Cache-Salt");
+    std::string key = salt;
+    std::string found;
+    bool before = true;
+    {
+      const std::lock_guard lock(mutex_);
+      std::string parts = request.Header("Peridotgate-Prompt-Prefix");
+      while (!parts.empty()) {
+        const std::size_t end = parts.find(',');
+        key += "/" + parts.substr(0, parts.find(':'));
+        const auto kept = parts_.find(key);
+        before = before && kept != parts_.end();
+        if (before) {
+          ++uses_[{kept->second, tenant}];
+          found += " " + kept->second;
+        } else {
+          parts_[key] = tenant;
+        }
+        parts.erase(0, end == std::string::npos ? parts.size() : end + 1);
+      }
+    }
+    record_.Add(replica_.id() + " runs " +
+                request.Header("Peridotgate-Request-Id") + " of " + tenant +
+                " under salt '" + salt +
+                "', uses parts made by:" + (found.empty() ? " none" : found));
+    std::map<std::string, std::string> headers = replica_.Headers(request);
+    headers["Content-Type"] = "text/event-stream";
+    connection->Write(Response(200, headers, "id: 1\ndata: a\n\n"));
+  }
+
+  Record& record_;
+  std::mutex mutex_;
+  std::map<std::string, std::string> parts_;  // The tenant that made each.
+  std::map<std::pair<std::string, std::string>, int> uses_;
+  Replica replica_;
+};
+
+std::string Config(std::int64_t version, bool dedicated) {
+  constexpr std::int64_t kTimeoutMs = 4000;
+  constexpr std::int64_t kObjectiveMs = 400;
   return Configuration(
-      1, {Route("/book/", "unsafe", "ledger", kTimeoutMs, kObjectiveMs)},
-      {PlainService("ledger")}, {Tenant("tailors", "key-1", false)});
+      version, {Route("/grade/", "stream", "pool-a", kTimeoutMs, kObjectiveMs)},
+      {EngineService("pool-a")},
+      {Tenant("tailors", "key-1", dedicated),
+       Tenant("hatters", "key-2", false)});
 }
 
 void Run(Record& record) {
   Store store;
-  store.Put("op", "config", Config());
-  std::atomic<int> booked{0};
-  Replica* replicas[2] = {};
-  const auto make = [&](int index) {
-    const auto work = [&, index](const Message& request,
-                                 const ConnectionPtr& connection) {
-      record.Add(replicas[index]->id() + " runs " +
-                 request.Header("Peridotgate-Request-Id"));
-      ++booked;
-      Sleep(Millis(20));
-      connection->Write(
-          Response(200, replicas[index]->Headers(request), "booked"));
-    };
-    return std::make_unique<Replica>(
-        store,
-        ReplicaOptions{.id = "i-a" + std::to_string(index + 1),
-                       .service = "ledger",
-                       .slots = 6,
-                       .models = {}},
-        work);
-  };
-  const auto first = make(0);
-  const auto second = make(1);
-  replicas[0] = first.get();
-  replicas[1] = second.get();
-  first->Register();
-  second->Register();
-
-  // The other writer's program: an HTTP server that is no replica.
-  std::atomic<int> strayed{0};
-  Listener stranger("127.0.0.1", 0, [&](const ConnectionPtr& connection) {
-    Message request;
-    while (connection->ReadHead(request) && connection->ReadBody(request)) {
-      ++strayed;
-      record.Add("the other writer's program gets " + request.start_line +
-                 ", id " + request.Header("Peridotgate-Request-Id") +
-                 ", tenant " + request.Header("Peridotgate-Tenant"));
-      connection->Write(Response(200,
-                                 {{"Peridotgate-Request-Id",
-                                   request.Header("Peridotgate-Request-Id")}},
-                                 "hello"));
-    }
-  });
+  store.Put("op", "config", Config(1, false));
+  store.Put("op", "version/m0", R"({"model":"m0","version":1})");
+  Engine first(store, record, "i-a1");
+  Engine second(store, record, "i-a2");
   Gateway gateway("gateway-1", store.address(), record);
   if (!gateway.Start() || !gateway.WaitUntilReady(Millis(10000))) {
     Finish(record, gateway, Verdict::kNotRun);
   }
+  int next = 0;
+  int failed = 0;
+  const auto send = [&](const std::string& key) {
+    Request request;
+    request.id = "request-" + std::to_string(++next);
+    request.path = "/grade/x";
+    request.key = key;
+    request.headers = {
+        {"Peridotgate-Model", "m0"},
+        {"Peridotgate-Token-Counts", "6350,10"},
+        {"Peridotgate-Prompt-Prefix", kPrompt + std::to_string(next) + ":50"}};
+    const Answer answer = ExchangeOnce(gateway.port(), request);
+    record.Add("key " + key + ": " + request.id + " gets " +
+               std::to_string(answer.status));
+    failed += answer.status == 200 ? 0 : 1;
+  };
+  for (int i = 0; i < kRounds; ++i) {
+    send("key-1");
+  }
   if (Trouble()) {
-    // `version`, `cold_left_ms`, `sequence` and `born` are missing.
-    const std::string entry =
-        json::serialize(json::object{{"service", "ledger"},
-                                     {"address", stranger.address()},
-                                     {"zone", "zone-a"},
-                                     {"slots", 6},
-                                     {"state", "ready"}});
-    store.Put("servers", "other-writer", entry);
-    record.Add("another writer's entry: " + entry);
+    store.Put("op", "config", Config(2, true));
+    record.Add("the store acknowledged version 2: tailors is dedicated");
   }
   Sleep(kSettled);
-  std::atomic<int> served{0};
-  std::atomic<int> failed{0};
-  std::vector<std::thread> callers;
-  callers.reserve(kCallers);
-  for (int caller = 0; caller < kCallers; ++caller) {
-    callers.emplace_back([&, caller] {
-      const ConnectionPtr connection =
-          Connection::Open("127.0.0.1", gateway.port());
-      for (int i = 0; i < kBookings; ++i) {
-        Request request;
-        request.id =
-            "booking-" + std::to_string(caller) + "-" + std::to_string(i);
-        request.path = "/book/x";
-        request.key = "key-1";
-        request.deadline_ms = 1500;
-        request.body = "two slabs";
-        const Answer answer = Exchange(*connection, request);
-        record.Add("caller gets " + std::to_string(answer.status) + " for " +
-                   request.id);
-        ++(answer.status == 200 ? served : failed);
-      }
-    });
-  }
-  for (std::thread& it : callers) {
-    it.join();
+  for (int i = 0; i < kRounds; ++i) {
+    send("key-1");
+    send("key-2");
   }
-  record.Add(std::to_string(booked) + " of " +
-             std::to_string(kCallers * kBookings) +
-             " bookings run by replicas, " + std::to_string(strayed) +
-             " sent to the other writer's program; " + std::to_string(served) +
-             " callers served, " + std::to_string(failed) + " failed");
-  if (served == 0) {
+  const int shared =
+      first.Uses("tailors", "hatters") + second.Uses("tailors", "hatters");
+  record.Add("hatters used " + std::to_string(shared) +
+             " parts that tailors had made");
+  if (failed > 0) {
     Finish(record, gateway, Verdict::kNotRun);
   }
-  Finish(record, gateway, strayed > 0 ? Verdict::kBroken : Verdict::kHeld);
+  // Without the change, both share parts as they may.
+  const bool broken = Trouble() && shared > 0;
+  Finish(record, gateway, broken ? Verdict::kBroken : Verdict::kHeld);
 }
 
 }  // namespace
--- a/review/common/scenario.cc
+++ b/review/common/scenario.cc
@@ -18,9 +18,10 @@
 constexpr Millis kReadyPoll{50};
 // From brazos-line: memory of a front machine, bounds, store.
 constexpr std::string_view kSettings =
-    "stop_within_ms: 8000\nseeds: []\nretries:\n  ratio: 0.2\n  slack: 58\n"
-    "orders:\n  lease_ms: 3000\n  deadline_ms: 10000\n"
+    "stop_within_ms: 8000\nseeds: []\norders:\n  lease_ms: 3000\n  "
+    "deadline_ms: 10000\n"
     "limits:\n  memory_mb: 110\n  cores: 0.19\n";
+constexpr const char* kRetrySlack = "58";
 
 std::string Env(const char* name, const char* fallback) {
   const char* value = std::getenv(name);
@@ -44,25 +45,45 @@
 
 Gateway::Gateway(std::string name, const std::string& store, Record& record)
     : name_(std::move(name)),
+      store_(store),
       record_(record),
       callers_(FreePort("127.0.0.1")),
-      readiness_(FreePort("127.0.0.1")) {
+      readiness_(FreePort("127.0.0.1")),
+      peers_(FreePort("127.0.0.1")),
+      operators_(FreePort("127.0.0.1")) {
   const std::string folder = Env("REVIEW_TMP", "/tmp");
   settings_ = folder + "/" + name_ + ".yaml";
   log_ = folder + "/" + name_ + ".log";
+  WriteSettings(kRetrySlack);
+}
+
+void Gateway::WriteSettings(const std::string& retry_slack) {
   std::ofstream file(settings_);
   const auto listen = [](std::uint16_t port) {
     return "127.0.0.1:" + std::to_string(port) + "\n";
   };
   file << "instance: " << name_ << "\ndata_centre: zone-a\nlisten:\n"
        << "  callers: " << listen(callers_)
-       << "  readiness: " << listen(readiness_)
-       << "  peers: " << listen(FreePort("127.0.0.1"))
-       << "  operators: " << listen(FreePort("127.0.0.1")) << "store: " << store
-       << "\n"
+       << "  readiness: " << listen(readiness_) << "  peers: " << listen(peers_)
+       << "  operators: " << listen(operators_) << "store: " << store_
+       << "\nretries:\n  ratio: 0.2\n  slack: " << retry_slack << "\n"
        << kSettings;
 }
 
+std::string Gateway::LastOutput() const {
+  std::ifstream file(log_);
+  std::string last;
+  std::string line;
+  while (std::getline(file, line)) {
+    last = line;
+  }
+  const std::size_t at = last.find(settings_);
+  if (at != std::string::npos) {
+    last.replace(at, settings_.size(), "SETTINGS");
+  }
+  return last;
+}
+
 void Gateway::Kill() {
   if (pid_ > 0) {
     ::kill(pid_, SIGKILL);
--- a/review/common/scenario.h
+++ b/review/common/scenario.h
@@ -39,6 +39,10 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
+  /** Writes the settings file, as the platform does when settings change. */
+  void WriteSettings(const std::string& retry_slack);
+  /** The last line that the process wrote. */
+  std::string LastOutput() const;
   bool Start();
   /** Kills the process and waits for its end. */
   void Kill();
@@ -53,11 +57,14 @@
 
  private:
   std::string name_;
+  std::string store_;
   std::string settings_;
   std::string log_;
   Record& record_;
   std::uint16_t callers_;
   std::uint16_t readiness_;
+  std::uint16_t peers_;
+  std::uint16_t operators_;
   pid_t pid_ = -1;
 };
 
