Start with fractions among the figures of the settings

Cause: counts and times in the settings were read as whole numbers only, while the platform hands its figures out as whole numbers or fractions. The same holds for the lease, the deadline of weights, the memory limit, the time to stop, which the template made by appending zeros, and for a figure that is not given. Change: these figures are read as numbers and rounded to the side that keeps their promise; counts accept 64.0; a key without a value is absent; NaN is no number. Tests run in the source folder, to read the deployed template.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -55,7 +55,8 @@
                                      ${CMAKE_SOURCE_DIR}/testing)
   target_link_libraries(${name}_tests PRIVATE peridotgate::${name} ${ARGN}
                                               GTest::gtest GTest::gtest_main)
-  add_test(NAME ${name}_tests COMMAND ${name}_tests)
+  add_test(NAME ${name}_tests COMMAND ${name}_tests
+           WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
   pg_fuzzers(${name} ${ARGN})
 endfunction()
 
--- a/gateway/include/gateway/settings.h
+++ b/gateway/include/gateway/settings.h
@@ -23,12 +23,12 @@
   std::vector<runtime::Endpoint> seeds;  // Peers to contact at start.
   Millis stop_within{8000};  // From SIGTERM to the end of the process.
   double retry_ratio = 0.2;  // Retries per request.
-  int retry_slack = 50;      // Retry burst, across all gateways.
+  double retry_slack = 50;   // Retry burst, across all gateways.
   // Minimum time between the orders of two rollout leaders.
   Millis lease{3000};
   Millis weights_deadline{10000};
-  int memory_mb = 0;  // 0: unknown.
-  int capacity = 0;   // Processor share in thousandths of a core; 0: unknown.
+  double memory_mb = 0;  // 0: unknown.
+  int capacity = 0;      // Processor share in thousandths of a core; 0: unknown.
   std::string log_level = "info";
 };
 
--- a/gateway/src/caller_connection.cc
+++ b/gateway/src/caller_connection.cc
@@ -38,7 +38,9 @@
 constexpr std::size_t kDefaultBodyBytes = 24 << 20;
 
 std::size_t MaxBodyBytes(const GatewaySettings& settings) {
-  const auto memory = static_cast<std::size_t>(settings.memory_mb) << 20;
+  constexpr double kBytesPerMb = 1 << 20;
+  const auto memory =
+      static_cast<std::size_t>(settings.memory_mb * kBytesPerMb);
   return memory == 0 ? kDefaultBodyBytes : memory / kBodyMemoryDivisor;
 }
 
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -4,8 +4,9 @@
 namespace {
 
 constexpr std::int64_t kMaxMs = 3600000;
-constexpr std::int64_t kMaxSlack = 1000000;
-constexpr std::int64_t kMaxMemoryMb = 1 << 20;
+constexpr double kMaxRatio = 1000;
+constexpr double kMaxSlack = 1e9;
+constexpr double kMaxMemoryMb = 1 << 20;
 constexpr double kMaxCores = 1024;
 constexpr double kThousandths = 1000;
 
@@ -23,14 +24,16 @@
   it.seeds = reader.Addresses("seeds");
   it.stop_within =
       reader.Millis("stop_within_ms", 0, kMaxMs, it.stop_within.count());
-  it.retry_ratio = reader.Decimal("retries.ratio", 0, 1, it.retry_ratio);
-  it.retry_slack = static_cast<int>(
-      reader.Integer("retries.slack", 0, kMaxSlack, it.retry_slack));
-  it.lease = reader.Millis("orders.lease_ms", 1, kMaxMs, it.lease.count());
+  it.retry_ratio =
+      reader.Decimal("retries.ratio", 0, kMaxRatio, it.retry_ratio);
+  it.retry_slack =
+      reader.Decimal("retries.slack", 0, kMaxSlack, it.retry_slack);
+  it.lease = reader.Millis("orders.lease_ms", 0, kMaxMs, it.lease.count(),
+                           runtime::Rounding::kUp);
   it.weights_deadline = reader.Millis("orders.deadline_ms", 1, kMaxMs,
                                       it.weights_deadline.count());
-  it.memory_mb = static_cast<int>(
-      reader.Integer("limits.memory_mb", 0, kMaxMemoryMb, it.memory_mb));
+  it.memory_mb =
+      reader.Decimal("limits.memory_mb", 0, kMaxMemoryMb, it.memory_mb);
   it.capacity = static_cast<int>(
       kThousandths * reader.Decimal("limits.cores", 0, kMaxCores, 0));
   it.log_level =
--- a/runtime/include/runtime/settings_reader.h
+++ b/runtime/include/runtime/settings_reader.h
@@ -36,10 +36,15 @@
 /** Parses `address:port`; returns `nullopt` when `text` is invalid. */
 std::optional<Endpoint> ParseEndpoint(std::string_view text);
 
+/** How a fraction of a unit is rounded. */
+enum class Rounding { kDown, kUp };
+
 /**
  * Typed access to settings by dotted key. An invalid or missing value is
  * recorded as a fault and replaced by a default, so that the caller can go on
- * reading. `Finish` returns all faults, including unknown keys.
+ * reading. `Finish` returns all faults, including unknown keys. A key without a
+ * value (`slack:`) counts as absent. Numbers may be written with a fraction or
+ * an exponent.
  *
  *     SettingsReader reader("entry.yaml", text);
  *     settings.instance = reader.String("instance");
@@ -55,7 +60,8 @@
   std::string String(std::string_view key);
   /** A string; `fallback` when absent. */
   std::string OptionalString(std::string_view key, std::string_view fallback);
-  /** An integer in [min_value, max_value]; `fallback` when absent. */
+  /** A count in [min_value, max_value], so without a fraction other than zero;
+   * `fallback` when absent. */
   std::int64_t Integer(std::string_view key,
                        std::int64_t min_value,
                        std::int64_t max_value,
@@ -65,11 +71,13 @@
                  double min_value,
                  double max_value,
                  double fallback);
-  /** Milliseconds in [min_value, max_value]; `fallback` when absent. */
+  /** Milliseconds in [min_value, max_value], rounded to whole ones; `fallback`
+   * when absent. */
   std::chrono::milliseconds Millis(std::string_view key,
                                    std::int64_t min_value,
                                    std::int64_t max_value,
-                                   std::int64_t fallback);
+                                   std::int64_t fallback,
+                                   Rounding rounding = Rounding::kDown);
   /** A required `IP:port`. */
   Endpoint Address(std::string_view key);
   /** A list of `IP:port`; empty when absent. */
--- a/runtime/src/settings_reader.cc
+++ b/runtime/src/settings_reader.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <set>
 
@@ -12,6 +13,9 @@
 namespace peridotgate::runtime {
 namespace {
 
+// Larger doubles are not exact as integers.
+constexpr double kMaxExactInteger = 9007199254740992.0;
+
 std::optional<std::int64_t> ParseInteger(std::string_view text) {
   std::int64_t value = 0;
   auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -21,6 +25,16 @@
   return value;
 }
 
+std::optional<double> ParseNumber(std::string_view text) {
+  double value = 0;
+  auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size() ||
+      !std::isfinite(value)) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 int LineNumber(const YAML::Node& node) {
   return node.Mark().line + 1;
 }
@@ -87,7 +101,7 @@
   std::optional<std::string> Scalar(std::string_view key,
                                     std::string_view expected) {
     auto node = Find(key);
-    if (!node) {
+    if (!node || node->IsNull()) {
       return std::nullopt;
     }
     if (!node->IsScalar()) {
@@ -158,6 +172,15 @@
     return fallback;
   }
   auto value = ParseInteger(*text);
+  if (!value) {
+    // Some writers format every number as a decimal: 64.0 or 6.4e1.
+    const auto number = ParseNumber(*text);
+    const bool whole = number && std::trunc(*number) == *number &&
+                       std::abs(*number) <= kMaxExactInteger;
+    if (whole) {
+      value = static_cast<std::int64_t>(*number);
+    }
+  }
   if (!value || *value < min_value || *value > max_value) {
     impl_->AddFault(LineNumber(*impl_->Find(key)), key, expected);
     return fallback;
@@ -175,23 +198,25 @@
   if (!text) {
     return fallback;
   }
-  double value = 0;
-  const auto parsed =
-      std::from_chars(text->data(), text->data() + text->size(), value);
-  if (parsed.ec != std::errc{} || parsed.ptr != text->data() + text->size() ||
-      value < min_value || value > max_value) {
+  const auto value = ParseNumber(*text);
+  if (!value || *value < min_value || *value > max_value) {
     impl_->AddFault(LineNumber(*impl_->Find(key)), key, expected);
     return fallback;
   }
-  return value;
+  return *value;
 }
 
 std::chrono::milliseconds SettingsReader::Millis(std::string_view key,
                                                  std::int64_t min_value,
                                                  std::int64_t max_value,
-                                                 std::int64_t fallback) {
-  return std::chrono::milliseconds(
-      Integer(key, min_value, max_value, fallback));
+                                                 std::int64_t fallback,
+                                                 Rounding rounding) {
+  const double value =
+      Decimal(key, static_cast<double>(min_value),
+              static_cast<double>(max_value), static_cast<double>(fallback));
+  const double whole =
+      rounding == Rounding::kUp ? std::ceil(value) : std::floor(value);
+  return std::chrono::milliseconds(static_cast<std::int64_t>(whole));
 }
 
 Endpoint SettingsReader::Address(std::string_view key) {
