Separate a tenant that becomes dedicated from the parts it shared

Cause: the name of the shared scope did not depend on who may share it. Besides, a request that was sent again after the change kept the scope of older rules, and a prompt whose engine has unknown weights got no scope, which is shared by all. Ruled out: entries and agents, which scope parts by organisation. It needs no history, so gateways that start or learn late agree. Without dedicated organisations the name stays.

--- a/gateway/include/gateway/rules.h
+++ b/gateway/include/gateway/rules.h
@@ -106,6 +106,16 @@
   const Route* FindRoute(std::string_view host, std::string_view target) const;
   /** The organisation that owns `key`, or null. */
   const Organisation* FindKey(const std::string& key) const;
+  /** The organisation of that name, or null. */
+  const Organisation* FindOrganisation(std::string_view name) const;
+  /**
+   * The scope within which the cached parts of a prompt may be reused, for
+   * requests of the organisation with that name, or of none if it is empty. An
+   * organisation that is dedicated, or that these rules do not name, has a scope
+   * of its own. The others share one, which differs for each set of dedicated
+   * organisations, so that no part in it was ever made by one of these.
+   */
+  std::string CacheScope(std::string_view organisation) const;
   /** The service of that name, or null. */
   const Service* FindService(std::string_view name) const;
 
@@ -113,6 +123,8 @@
   RulesText text_;
   std::unordered_map<std::string, std::vector<const Route*>> by_host_;
   std::unordered_map<std::string, const Organisation*> by_key_;
+  std::unordered_map<std::string_view, const Organisation*> by_name_;
+  std::string shared_scope_;  // Empty if no organisation is dedicated.
 };
 
 /** The cache stores that the rules name; empty if `rules` is null. */
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -120,14 +120,19 @@
     time = std::min(time, *request_.patience);
   }
   deadline_ = began_ + time;
-  if (organisation_ != nullptr && organisation_->dedicated) {
-    cache_scope_ = organisation_->name;
-  }
   resume_after_ = request_.resume_after;
   part_keys_ = SharedPartKeys(service_, request_.model, request_.prompt);
   return true;
 }
 
+// The rules may have changed since the request came. What a request reuses or
+// leaves in a cache follows those in force when it is sent.
+void Exchange::UpdateCacheScope() {
+  const Rules& rules = parts_.view.rules ? *parts_.view.rules : *rules_;
+  cache_scope_ = rules.CacheScope(
+      organisation_ == nullptr ? std::string_view() : organisation_->name);
+}
+
 PlacementRequest Exchange::MakePlacementRequest() const {
   PlacementRequest placement_request;
   placement_request.service = service_;
@@ -150,6 +155,7 @@
       co_await RefusePart(verdict);
       co_return;
     }
+    UpdateCacheScope();
     const TimePoint now = Now();
     auto placement = deadline_ - now < kMinTimeLeft
                          ? std::nullopt
@@ -300,11 +306,12 @@
   DispatchHead dispatch;
   dispatch.server_id = placement.server_id;
   dispatch.organisation = organisation_ == nullptr ? "" : organisation_->name;
-  if (placement.weights_version) {
-    // Parts are never shared between weights versions, nor with a dedicated
-    // organisation.
+  if (!request_.model.empty() || !request_.prompt.empty()) {
+    // Parts are never shared between weights versions. Without any scope, a
+    // server shares them among all requests.
     dispatch.cache_scope =
-        "v" + std::to_string(*placement.weights_version) + "/" + cache_scope_;
+        "v" + std::to_string(placement.weights_version.value_or(0)) + "/" +
+        cache_scope_;
   }
   dispatch.resume_after = resume_after_;
   dispatch.time_left = std::chrono::duration_cast<Millis>(deadline_ - Now());
--- a/gateway/src/exchange.h
+++ b/gateway/src/exchange.h
@@ -48,6 +48,7 @@
   };
 
   bool ResolveRoute(Refusal& refusal);
+  void UpdateCacheScope();
   PlacementRequest MakePlacementRequest() const;
   asio::awaitable<void> RunAttempts();
   asio::awaitable<Step> TryServer(const Placement& placement);
--- a/gateway/src/rules.cc
+++ b/gateway/src/rules.cc
@@ -6,6 +6,8 @@
 
 #include <xxhash.h>
 
+#include "coordination/ids.h"
+
 namespace peridotgate::gateway {
 namespace {
 
@@ -24,6 +26,22 @@
   return key;
 }
 
+// The scope of all organisations that are not in `dedicated`; no other set has
+// the same one.
+std::string SharedScope(std::vector<std::string_view> dedicated) {
+  if (dedicated.empty()) {
+    return {};
+  }
+  std::sort(dedicated.begin(), dedicated.end());
+  std::string names;
+  for (const std::string_view it : dedicated) {
+    names += std::to_string(it.size()) + ':';
+    names += it;
+  }
+  const XXH128_hash_t hash = XXH3_128bits(names.data(), names.size());
+  return "shared:" + coordination::ToHex({hash.high64, hash.low64});
+}
+
 }  // namespace
 
 Rules::Rules(RulesText text) : text_(std::move(text)) {
@@ -35,11 +53,17 @@
       return a->prefix.size() > b->prefix.size();
     });
   }
+  std::vector<std::string_view> dedicated;
   for (const Organisation& it : text_.organisations) {
+    by_name_[it.name] = &it;
     for (const std::string& key : it.keys) {
       by_key_[key] = &it;
     }
+    if (it.dedicated) {
+      dedicated.push_back(it.name);
+    }
   }
+  shared_scope_ = SharedScope(std::move(dedicated));
 }
 
 const Route* Rules::FindRoute(std::string_view host,
@@ -62,6 +86,21 @@
   return found == by_key_.end() ? nullptr : found->second;
 }
 
+const Organisation* Rules::FindOrganisation(std::string_view name) const {
+  auto found = by_name_.find(name);
+  return found == by_name_.end() ? nullptr : found->second;
+}
+
+std::string Rules::CacheScope(std::string_view organisation) const {
+  if (organisation.empty()) {
+    return shared_scope_;
+  }
+  const Organisation* found = FindOrganisation(organisation);
+  return found == nullptr || found->dedicated
+             ? "own:" + std::string(organisation)
+             : shared_scope_;
+}
+
 const Service* Rules::FindService(std::string_view name) const {
   for (const Service& it : text_.services) {
     if (it.name == name) {
--- a/gateway/tests/correctness/rules_test.cc
+++ b/gateway/tests/correctness/rules_test.cc
@@ -2,6 +2,11 @@
 #include "gateway/rules.h"
 
 #include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -66,5 +71,41 @@
   EXPECT_EQ(ChooseService(route, "1"), nullptr);
 }
 
+// Changes dedicate and release organisations at random; each gateway learns of
+// them late. No prompt reuses a part of another organisation if one of the two
+// is dedicated by the rules of the gateway that sends it.
+TEST(Rules, CacheScopesKeepDedicatedOrganisationsApartInAnyHistory) {
+  const std::vector<std::string> names{"a", "b", "c", "d"};
+  std::mt19937 random(1);
+  const auto pick = [&](std::size_t n) { return random() % n; };
+  std::vector<std::shared_ptr<const Rules>> history;
+  std::vector<std::size_t> known(3, 0);  // By gateway: index in `history`.
+  std::map<std::string, std::set<std::string>> makers;  // By scope.
+  int shared = 0;
+  for (int step = 0; step < 20000; ++step) {
+    if (step % 20 == 0) {
+      RulesText text;
+      text.version = step;
+      for (const std::string& it : names) {
+        text.organisations.push_back({it, {}, {}, pick(3) == 0});
+      }
+      history.push_back(std::make_shared<const Rules>(std::move(text)));
+    }
+    std::size_t& at = known[pick(known.size())];
+    at += pick(10) == 0 ? pick(history.size() - at) : 0;
+    const Rules& rules = *history[at];
+    const std::string& user = names[pick(names.size())];
+    auto& parts_of = makers[rules.CacheScope(user)];
+    for (const std::string& maker : parts_of) {
+      const bool apart = rules.FindOrganisation(user)->dedicated ||
+                         rules.FindOrganisation(maker)->dedicated;
+      ASSERT_FALSE(apart && maker != user) << user << " reuses " << maker;
+      shared += maker != user ? 1 : 0;
+    }
+    parts_of.insert(user);
+  }
+  EXPECT_GT(shared, 1000);
+}
+
 }  // namespace
 }  // namespace peridotgate::gateway
