Order new weights while gateways are restarted in series

Cause: a gateway that was asked to stop never led again, although it runs for up to 7.5 s, and a process that reads the lease for the first time counted the margin from its own first look. A leader whose traffic had ended exited amid a rollout without releasing the lease. Change: lease rows bear the store's time, so their age is known at the first read. A gateway that stops goes on leading, starts to lead if none that stays does, and releases the lease before it exits. The exploration of all interleavings of the lease passes with and without the store's time. RolloutLeaders.* pass.

--- a/coordination/include/coordination/lease.h
+++ b/coordination/include/coordination/lease.h
@@ -1,9 +1,12 @@
 // A lease with a fencing token, stored in one row that is updated by
 // compare-and-set. Does no I/O and needs no shared clock: each contender
-// measures time with its own clock.
+// measures time with its own clock. If the store that keeps the row tells its
+// time, a contender also knows how old a row is that it reads for the first
+// time.
 #ifndef COORDINATION_LEASE_H_
 #define COORDINATION_LEASE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -19,6 +22,9 @@
   std::int64_t token = 0;     // Increases with each new holder.
   std::int64_t revision = 0;  // Increases with each write.
   std::int64_t attempt = 0;   // Distinguishes the holder's writes.
+  // The store's time when the holder sent the write, or when it last acted if it
+  // released the lease, and never earlier; 0: unknown.
+  std::chrono::milliseconds stored{0};
 
   bool operator==(const LeaseRecord&) const = default;
 };
@@ -33,6 +39,12 @@
 /** Outcome of a write. */
 enum class LeaseWrite { kDone, kConflict, kUnknown };
 
+/** A reading of the steady clock of the store that keeps the row. */
+struct StoreTime {
+  std::chrono::milliseconds time{0};
+  TimePoint asked{};  // When the call that returned it was sent.
+};
+
 /** Durations of a lease. */
 struct LeaseOptions {
   Duration length = std::chrono::seconds(6);
@@ -69,10 +81,15 @@
    */
   const LeaseRecord& to_write() const { return last_write_; }
 
-  void OnRead(const std::optional<LeaseRecord>& row, TimePoint now);
+  /** Reports the row, and the store's time when it was read, if known. */
+  void OnRead(const std::optional<LeaseRecord>& row,
+              TimePoint now,
+              std::optional<StoreTime> store_time = std::nullopt);
   /** Reports that reading the row failed. */
   void OnReadFailed(TimePoint now);
-  void OnWrite(LeaseWrite result, TimePoint now);
+  void OnWrite(LeaseWrite result,
+               TimePoint now,
+               std::optional<StoreTime> store_time = std::nullopt);
 
   /**
    * Stops contending. If this contender holds the lease, returns a record to
@@ -80,7 +97,7 @@
    * `margin` instead of `length`. Must not be called while an action is
    * outstanding.
    */
-  std::optional<LeaseRecord> Release();
+  std::optional<LeaseRecord> Release(TimePoint now);
 
   /** The fencing token while the lease is guaranteed to be held. */
   std::optional<std::int64_t> token(TimePoint now) const;
@@ -91,8 +108,11 @@
   LeaseAction Read(TimePoint now);
   LeaseAction Write(std::int64_t token, TimePoint now);
   bool HasExpired(TimePoint now) const;
-  void Observe(const std::optional<LeaseRecord>& row, TimePoint now);
+  void Observe(const std::optional<LeaseRecord>& row,
+               TimePoint now,
+               const std::optional<StoreTime>& store_time);
   void MarkHeld();
+  std::chrono::milliseconds LatestStoreTime(TimePoint at) const;
 
   LeaseOptions options_;
   Id128 self_;
@@ -106,6 +126,7 @@
   TimePoint last_write_sent_{};
   std::int64_t token_ = 0;
   TimePoint held_until_{};
+  std::optional<StoreTime> store_time_;  // The last one that was reported.
 };
 
 }  // namespace peridotgate::coordination
--- a/coordination/src/lease.cc
+++ b/coordination/src/lease.cc
@@ -1,5 +1,7 @@
 #include "coordination/lease.h"
 
+#include <algorithm>
+
 #include "coordination/check.h"
 
 namespace peridotgate::charts {
@@ -58,9 +60,21 @@
   last_write_.token = token;
   last_write_.revision = (last_row_ ? last_row_->revision : 0) + 1;
   ++last_write_.attempt;
+  last_write_.stored = LatestStoreTime(now);
   return LeaseAction::kWrite;
 }
 
+// The latest time that the store's clock may show at `at`; 0 if unknown.
+std::chrono::milliseconds Lease::LatestStoreTime(TimePoint at) const {
+  if (!store_time_) {
+    return {};
+  }
+  // A reading leaves out the fraction of its last millisecond.
+  constexpr std::chrono::milliseconds kFraction{1};
+  return store_time_->time + kFraction +
+         std::chrono::ceil<std::chrono::milliseconds>(at - store_time_->asked);
+}
+
 // A record that names this process as the holder is taken over immediately,
 // even if it is not the last write: no other process can have acted under it.
 bool Lease::HasExpired(TimePoint now) const {
@@ -72,12 +86,19 @@
   return now - last_row_since_ >= wait;
 }
 
-void Lease::Observe(const std::optional<LeaseRecord>& row, TimePoint now) {
+void Lease::Observe(const std::optional<LeaseRecord>& row,
+                    TimePoint now,
+                    const std::optional<StoreTime>& store_time) {
   if (!has_read_ || last_row_ != row) {
     last_row_ = row;
     last_row_since_ = now;
     has_read_ = true;
   }
+  if (row && store_time && row->stored.count() > 0) {
+    const Duration age =
+        std::max(Duration{}, Duration(store_time->time - row->stored));
+    last_row_since_ = std::min(last_row_since_, now - age);
+  }
 }
 
 void Lease::MarkHeld() {
@@ -86,16 +107,19 @@
   held_until_ = last_write_sent_ + options_.length - options_.margin;
 }
 
-void Lease::OnRead(const std::optional<LeaseRecord>& row, TimePoint now) {
+void Lease::OnRead(const std::optional<LeaseRecord>& row,
+                   TimePoint now,
+                   std::optional<StoreTime> store_time) {
   PG_CHECK(outstanding_);
   outstanding_ = false;
+  store_time_ = store_time ? store_time : store_time_;
   const bool own = row && *row == last_write_;
   if (cursor_.Is("unsure") && own) {
     cursor_.Step("read_own");
     MarkHeld();
     return;
   }
-  Observe(row, now);
+  Observe(row, now, store_time);
   if (cursor_.Is("unsure")) {
     cursor_.Step("read_other");
   } else if (cursor_.Is("idle")) {
@@ -109,9 +133,12 @@
   next_read_ = now + options_.read_period;
 }
 
-void Lease::OnWrite(LeaseWrite result, TimePoint now) {
+void Lease::OnWrite(LeaseWrite result,
+                    TimePoint now,
+                    std::optional<StoreTime> store_time) {
   PG_CHECK(outstanding_);
   outstanding_ = false;
+  store_time_ = store_time ? store_time : store_time_;
   next_read_ = now;
   switch (result) {
     case LeaseWrite::kDone:
@@ -127,7 +154,7 @@
   }
 }
 
-std::optional<LeaseRecord> Lease::Release() {
+std::optional<LeaseRecord> Lease::Release(TimePoint now) {
   PG_CHECK(!outstanding_);
   if (cursor_.Is("stopped")) {
     return std::nullopt;
@@ -141,6 +168,7 @@
   released.holder = Id128{};
   ++released.revision;
   ++released.attempt;
+  released.stored = LatestStoreTime(std::min(now, held_until_));
   return released;
 }
 
--- a/coordination/tests/error/lease_test.cc
+++ b/coordination/tests/error/lease_test.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr Duration kUnit = std::chrono::seconds(1);
+constexpr std::int64_t kStoreStart = 86400000;
 
 LeaseOptions TestOptions(bool enforce_expiry = true) {
   LeaseOptions options;
@@ -49,6 +50,7 @@
 };
 
 struct World {
+  bool tells_time = false;  // Whether the store tells its time.
   std::vector<Lease> leases;
   Row row;
   TimePoint now{};
@@ -57,13 +59,25 @@
   int last_holder = -1;
 };
 
-World Start(LeaseOptions options) {
+World Start(LeaseOptions options, bool tells_time) {
   World world;
+  world.tells_time = tells_time;
   world.leases.emplace_back(options, Id128{1, 0});
   world.leases.emplace_back(options, Id128{2, 0});
   return world;
 }
 
+// The store's clock started long before the world's.
+std::optional<StoreTime> TimeOf(const World& world) {
+  if (!world.tells_time) {
+    return std::nullopt;
+  }
+  return StoreTime{std::chrono::milliseconds(kStoreStart) +
+                       std::chrono::duration_cast<std::chrono::milliseconds>(
+                           world.now.time_since_epoch()),
+                   world.now};
+}
+
 void Write(World& world, Lease& lease, Move move) {
   if (move == Move::kDelayWrite) {
     world.row.late.push_back(lease.to_write());
@@ -73,8 +87,8 @@
   if (move != Move::kStep) {
     lease.OnWrite(LeaseWrite::kUnknown, world.now);
   } else {
-    lease.OnWrite(landed ? LeaseWrite::kDone : LeaseWrite::kConflict,
-                  world.now);
+    lease.OnWrite(landed ? LeaseWrite::kDone : LeaseWrite::kConflict, world.now,
+                  TimeOf(world));
   }
 }
 
@@ -91,7 +105,7 @@
     return true;
   }
   if (action == LeaseAction::kRead && move == Move::kStep) {
-    lease.OnRead(world.row.record, world.now);
+    lease.OnRead(world.row.record, world.now, TimeOf(world));
     return true;
   }
   return false;
@@ -153,9 +167,9 @@
   std::size_t violations = 0;
 };
 
-Exploration Explore(LeaseOptions options, int depth) {
+Exploration Explore(LeaseOptions options, bool tells_time, int depth) {
   Exploration result;
-  std::vector<World> layer{Start(options)};
+  std::vector<World> layer{Start(options, tells_time)};
   for (int i = 0; i < depth && result.violations == 0; ++i) {
     std::vector<World> next;
     for (const World& it : layer) {
@@ -172,14 +186,16 @@
 }
 
 TEST(Lease, NoInterleavingHasTwoHolders) {
-  const Exploration result = Explore(TestOptions(), 8);
-  std::printf("lease: %zu worlds, %zu after a holder, %zu violations\n",
-              result.worlds, result.holding, result.violations);
-  EXPECT_EQ(result.violations, 0U);
-  EXPECT_GT(result.holding, 1000U);
-  {
+  for (const bool tells_time : {false, true}) {
+    SCOPED_TRACE(tells_time ? "the store tells its time"
+                            : "the store tells no time");
+    const Exploration result = Explore(TestOptions(), tells_time, 8);
+    std::printf("lease: %zu worlds, %zu after a holder, %zu violations\n",
+                result.worlds, result.holding, result.violations);
+    EXPECT_EQ(result.violations, 0U);
+    EXPECT_GT(result.holding, 1000U);
     SCOPED_TRACE("the exploration detects holders that act after expiry");
-    EXPECT_GT(Explore(TestOptions(false), 8).violations, 0U);
+    EXPECT_GT(Explore(TestOptions(false), tells_time, 8).violations, 0U);
   }
 }
 
@@ -253,12 +269,12 @@
     ASSERT_EQ(first.Next(now), LeaseAction::kWrite);
     ASSERT_TRUE(row.Write(first.to_write()));
     first.OnWrite(LeaseWrite::kDone, now);
-    const auto released = first.Release();
+    const auto released = first.Release(now);
     ASSERT_TRUE(released);
     ASSERT_TRUE(row.Write(*released));
     EXPECT_FALSE(first.token(now).has_value());
     EXPECT_EQ(first.Next(now), LeaseAction::kNone);
-    EXPECT_FALSE(first.Release());
+    EXPECT_FALSE(first.Release(now));
   }
   {
     SCOPED_TRACE("the second waits for the margin instead of the length");
@@ -273,6 +289,77 @@
   }
 }
 
+// A contender that reads a row for the first time, with the store's time.
+class FirstRead {
+ public:
+  FirstRead(const Row& row, TimePoint now, std::chrono::milliseconds store_time)
+      : lease_(TestOptions(), Id128{9, 9}) {
+    lease_.Next(now);
+    lease_.OnRead(row.record, now, StoreTime{store_time, now});
+  }
+  bool TakesOver(TimePoint now) {
+    return lease_.Next(now) == LeaseAction::kWrite;
+  }
+
+ private:
+  Lease lease_;
+};
+
+TEST(Lease, AProcessThatStartsDoesNotWaitForALeaseThatWasGivenUpBefore) {
+  using std::chrono::milliseconds;
+  constexpr milliseconds kStoreTime{5000};
+  Row row;
+  TimePoint now{};
+  Lease first(TestOptions(), Id128{1, 0});
+  {
+    SCOPED_TRACE("the first acquires the lease; its call took a quarter unit");
+    first.Next(now);
+    first.OnRead(row.record, now, StoreTime{kStoreTime, now - kUnit / 4});
+    ASSERT_EQ(first.Next(now), LeaseAction::kWrite);
+    ASSERT_TRUE(row.Write(first.to_write()));
+    first.OnWrite(LeaseWrite::kDone, now);
+    EXPECT_EQ(row.record->stored, kStoreTime + milliseconds(251));
+  }
+  {
+    SCOPED_TRACE("a holder that ended without a release, read later");
+    EXPECT_FALSE(
+        FirstRead(row, now, kStoreTime + milliseconds(4250)).TakesOver(now));
+    EXPECT_TRUE(
+        FirstRead(row, now, kStoreTime + milliseconds(4251)).TakesOver(now));
+  }
+  {
+    SCOPED_TRACE("a store whose clock starts anew: the whole length counts");
+    EXPECT_FALSE(FirstRead(row, now, milliseconds(1))
+                     .TakesOver(now + 4 * kUnit - milliseconds(1)));
+    EXPECT_TRUE(FirstRead(row, now, milliseconds(1)).TakesOver(now + 4 * kUnit));
+  }
+  {
+    SCOPED_TRACE("the first releases it; the margin counts from then");
+    now += kUnit;
+    ASSERT_TRUE(row.Write(*first.Release(now)));
+    EXPECT_EQ(row.record->stored, kStoreTime + milliseconds(1251));
+    EXPECT_FALSE(
+        FirstRead(row, now, kStoreTime + milliseconds(2250)).TakesOver(now));
+    EXPECT_TRUE(
+        FirstRead(row, now, kStoreTime + milliseconds(2251)).TakesOver(now));
+  }
+}
+
+TEST(Lease, AReleaseLongAfterTheLastActionCountsFromThatAction) {
+  using std::chrono::milliseconds;
+  Row row;
+  TimePoint now{};
+  Lease first(TestOptions(), Id128{1, 0});
+  first.Next(now);
+  first.OnRead(row.record, now, StoreTime{milliseconds(1000), now});
+  ASSERT_EQ(first.Next(now), LeaseAction::kWrite);
+  ASSERT_TRUE(row.Write(first.to_write()));
+  first.OnWrite(LeaseWrite::kDone, now);
+  now += 100 * kUnit;
+  ASSERT_TRUE(row.Write(*first.Release(now)));
+  EXPECT_EQ(row.record->stored, milliseconds(4001));
+}
+
 TEST(FencingGate, RejectsOlderTokensAndAllBeforeTheFirstRead) {
   FencingGate gate;
   EXPECT_EQ(gate.Admit(5), FenceVerdict::kUnknown);
--- a/gateway/include/gateway/fleet_source.h
+++ b/gateway/include/gateway/fleet_source.h
@@ -48,6 +48,13 @@
 struct StoredRows {
   std::vector<StoredRow> rows;
   std::int64_t version = 0;
+  std::optional<Millis> time = {};  // The store's steady clock, if it tells it.
+};
+
+/** A row that was written. */
+struct StoredWrite {
+  std::int64_t version = 0;  // Of the row.
+  std::optional<Millis> time = {};  // The store's steady clock, if it tells it.
 };
 
 /** A key-value table service with conditional writes and a change feed. */
@@ -64,8 +71,8 @@
       std::int64_t after,
       std::chrono::milliseconds wait) = 0;
   /** Writes a row if its version is `expected` (0: the row must not exist), or
-   * unconditionally without `expected`. Returns the new version. */
-  virtual asio::awaitable<Result<std::int64_t, StoreError>> Write(
+   * unconditionally without `expected`. */
+  virtual asio::awaitable<Result<StoredWrite, StoreError>> Write(
       std::string table,
       std::string key,
       std::string value,
--- a/gateway/include/gateway/rollout_leader.h
+++ b/gateway/include/gateway/rollout_leader.h
@@ -40,9 +40,15 @@
   void OnPeers(std::span<const PeerGateway> peers);
   /** Another gateway reported progress, so it leads the rollout. */
   void OnPeerLeader();
-  /** Gives up leadership. A rollout in progress continues for up to `grace`,
-   * since the next holder may only start a lease margin later. */
-  void Resign(Millis grace);
+  /** The process stops in `time` at the latest. Until then this gateway goes on
+   * leading a rollout, since the next holder may only start a lease margin after
+   * it, and starts to lead if no gateway that stays does. Then it releases the
+   * lease. */
+  void Leave(Millis time);
+  /** Whether this gateway leads a rollout that is not finished. */
+  bool leading() const;
+  /** Whether the lease was given up for good. */
+  bool ended() const;
 
  private:
   struct Impl;
--- a/gateway/src/rollout_leader.cc
+++ b/gateway/src/rollout_leader.cc
@@ -48,6 +48,9 @@
 // while, since each request is a call to the store.
 constexpr std::size_t kEagerCandidates = 3;
 constexpr Millis kLeaderSilence{2000};
+// A gateway that is about to stop lets those that stay go first for this time.
+// The less time it has left, the longer it waits, up to `kLeaderSilence`.
+constexpr Millis kMinLeavingDelay{300};
 
 // Keeps the orders of two lease holders at least `settings.lease` apart, plus
 // the time that an order may be in transit.
@@ -66,6 +69,7 @@
   object["token"] = record.token;
   object["revision"] = record.revision;
   object["attempt"] = record.attempt;
+  object["stored_ms"] = record.stored.count();
   return boost::json::serialize(object);
 }
 
@@ -88,9 +92,18 @@
   record.token = integer("token");
   record.revision = integer("revision");
   record.attempt = integer("attempt");
+  record.stored = Millis(integer("stored_ms"));
   return record;
 }
 
+std::optional<coordination::StoreTime> TimeOf(std::optional<Millis> time,
+                                              TimePoint asked) {
+  if (!time) {
+    return std::nullopt;
+  }
+  return coordination::StoreTime{*time, asked};
+}
+
 }  // namespace
 
 struct RolloutLeader::Impl {
@@ -123,7 +136,11 @@
   std::size_t rank = 0;    // Number of gateways before this one.
   // When progress of another leader was last received, or no work was left.
   TimePoint no_leader_since{};
-  std::optional<TimePoint> resign_by;
+  // Set while the process stops: its last moment as the leader, and the time
+  // that it had from the start of the stop until then.
+  std::optional<TimePoint> leaves_at;
+  coordination::Duration leave_time{};
+  bool ended = false;
   std::map<std::string, std::shared_ptr<runtime::HttpClient>> clients;
 
   asio::awaitable<void> Run() {
@@ -131,9 +148,9 @@
     while (true) {
       timer.expires_after(kStepPeriod);
       co_await timer.async_wait(kNoThrow);
-      const bool unfinished = was_leader && rollout.pending();
-      if (resign_by && (!unfinished || clock.Now() >= *resign_by)) {
+      if (leaves_at && clock.Now() >= *leaves_at) {
         co_await ReleaseLease();
+        ended = true;
         co_return;
       }
       if (!rollout.pending()) {
@@ -177,10 +194,30 @@
     }
   }
 
+  // Whether this gateway holds the lease and still has orders to give.
+  bool leading() const {
+    return was_leader && rollout.pending() &&
+           lease.token(clock.Now()).has_value();
+  }
+
   // Keeps a large fleet from requesting the lease all at once.
   bool MayContend() const {
-    return rank < kEagerCandidates || was_leader ||
-           clock.Now() - no_leader_since >= kLeaderSilence;
+    const TimePoint now = clock.Now();
+    if (lease.token(now) || (was_leader && !leaves_at)) {
+      return true;
+    }
+    coordination::Duration delay =
+        rank < kEagerCandidates ? Millis(0) : kLeaderSilence;
+    if (leaves_at) {
+      const double left = leave_time.count() == 0
+                              ? 0
+                              : static_cast<double>((*leaves_at - now).count()) /
+                                    static_cast<double>(leave_time.count());
+      const auto wait = std::chrono::duration_cast<coordination::Duration>(
+          (1 - left) * (kLeaderSilence - kMinLeavingDelay));
+      delay = std::max(delay, kMinLeavingDelay + wait);
+    }
+    return now - no_leader_since >= delay;
   }
 
   asio::awaitable<void> KeepLease() {
@@ -197,6 +234,7 @@
   }
 
   asio::awaitable<void> ReadLease() {
+    const TimePoint asked = clock.Now();
     std::string table(kLeaseTable);
     auto rows = co_await store.ReadAll(std::move(table));
     if (!rows) {
@@ -211,18 +249,20 @@
         row_version = it.version;
       }
     }
-    lease.OnRead(record, clock.Now());
+    lease.OnRead(record, clock.Now(), TimeOf(rows.value().time, asked));
   }
 
   asio::awaitable<void> WriteLease() {
     std::string table(kLeaseTable);
     std::string key(kLeaseKey);
     std::string value = Format(lease.to_write());
+    const TimePoint asked = clock.Now();
     auto written = co_await store.Write(std::move(table), std::move(key),
                                         std::move(value), row_version);
     if (written) {
-      row_version = written.value();
-      lease.OnWrite(LeaseWrite::kDone, clock.Now());
+      row_version = written.value().version;
+      lease.OnWrite(LeaseWrite::kDone, clock.Now(),
+                    TimeOf(written.value().time, asked));
       co_return;
     }
     switch (written.error()) {
@@ -238,7 +278,7 @@
   }
 
   asio::awaitable<void> ReleaseLease() {
-    const auto released = lease.Release();
+    const auto released = lease.Release(clock.Now());
     if (!released) {
       co_return;
     }
@@ -337,8 +377,17 @@
   asio::co_spawn(impl_->duty.context(), impl_->Run(), asio::detached);
 }
 
-void RolloutLeader::Resign(Millis grace) {
-  impl_->resign_by = impl_->clock.Now() + grace;
+void RolloutLeader::Leave(Millis time) {
+  impl_->leaves_at = impl_->clock.Now() + time;
+  impl_->leave_time = time;
+}
+
+bool RolloutLeader::leading() const {
+  return impl_->leading();
+}
+
+bool RolloutLeader::ended() const {
+  return impl_->ended;
 }
 
 void RolloutLeader::OnPeerLeader() {
--- a/gateway/tests/error/follower_test.cc
+++ b/gateway/tests/error/follower_test.cc
@@ -81,7 +81,7 @@
     co_return rows;
   }
 
-  asio::awaitable<Result<std::int64_t, StoreError>> Write(
+  asio::awaitable<Result<StoredWrite, StoreError>> Write(
       std::string /*table*/,
       std::string /*key*/,
       std::string /*value*/,
