Leave a silent server only for one that can take the stream

Callers saw: streams cut in the middle after 1.2 s of silence of a sound replica that had no other beside it (LOST). Cause: the limit of silence was set before the wait, from the route and the retry budget; nobody looked whether another server could take the stream. It also ran while a slow caller held up the stream. Change: a timer looks at the fleet when the silence is long, and each 100 ms from then on; the request moves only to a server that is not ejected and is expected to answer in the time left, with budget to come back. If no other server takes it, it goes back to the one that was only silent.

--- a/coordination/include/coordination/retry_budget.h
+++ b/coordination/include/coordination/retry_budget.h
@@ -33,9 +33,9 @@
     Earn(BalanceOf(organisation), limits_.organisation_ratio);
   }
 
-  /** Whether `TryRetry` would succeed now. */
-  bool Allows(std::string_view organisation) {
-    return total_ >= 1 && BalanceOf(organisation) >= 1;
+  /** Whether `TryRetry` would succeed now, `retries` times in a row. */
+  bool Allows(std::string_view organisation, int retries = 1) {
+    return total_ >= retries && BalanceOf(organisation) >= retries;
   }
 
   /** Takes a retry from both budgets; returns false if either is exhausted. */
--- a/gateway/include/gateway/load_balancer.h
+++ b/gateway/include/gateway/load_balancer.h
@@ -47,6 +47,9 @@
   std::string saved_prefix_key;  // Key that records that the prompt was saved.
 };
 
+/** Whether servers may be chosen that failed several times in a row. */
+enum class EjectedServers { kIfNoOther, kNever };
+
 /** How an attempt at one server ended, as evidence of the server's health. */
 enum class AttemptOutcome {
   kServed,
@@ -109,8 +112,10 @@
 
   /** The usable server with the lowest predicted time, or nothing if there is
    * none. */
-  std::optional<Placement> Place(const PlacementRequest& need,
-                                 TimePoint now) const;
+  std::optional<Placement> Place(
+      const PlacementRequest& need,
+      TimePoint now,
+      EjectedServers ejected = EjectedServers::kIfNoOther) const;
 
   /** Whether the service has any usable server. */
   bool HasServer(std::string_view service, TimePoint now) const;
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "runtime/event_log.h"
+#include "silence_timer.h"
 
 namespace peridotgate::gateway {
 namespace {
@@ -33,6 +34,8 @@
 // A server is assumed to hang when it is silent for this many times the route's
 // objective and this many times the predicted time.
 constexpr int kSilentObjectives = 3;
+// Delay until it is checked again whether a request can leave a silent server.
+constexpr Millis kSilenceRecheck{100};
 // While a larger share of first bytes is late, servers are assumed to be
 // overloaded rather than hanging, and moving requests would add load.
 constexpr double kMaxLateShare = 0.15;
@@ -144,6 +147,20 @@
   return placement_request;
 }
 
+// Chooses a server that was not tried yet, or else one that was only silent.
+std::optional<Placement> Exchange::Place(TimePoint now) {
+  auto placement = parts_.balancer.Place(MakePlacementRequest(), now);
+  if (!placement && !silent_servers_.empty()) {
+    std::erase_if(tried_, [&](const std::string& it) {
+      return std::find(silent_servers_.begin(), silent_servers_.end(), it) !=
+             silent_servers_.end();
+    });
+    silent_servers_.clear();
+    placement = parts_.balancer.Place(MakePlacementRequest(), now);
+  }
+  return placement;
+}
+
 asio::awaitable<void> Exchange::RunAttempts() {
   while (true) {
     if (caller_.HasClosed()) {
@@ -157,9 +174,7 @@
     }
     UpdateCacheScope();
     const TimePoint now = Now();
-    auto placement = deadline_ - now < kMinTimeLeft
-                         ? std::nullopt
-                         : parts_.balancer.Place(MakePlacementRequest(), now);
+    auto placement = deadline_ - now < kMinTimeLeft ? std::nullopt : Place(now);
     if (!placement) {
       co_await GiveUp();
       co_return;
@@ -220,22 +235,55 @@
   return route_->idempotent && runs_ < std::max(1, route_->attempts);
 }
 
-// The time until which the server of the present attempt may be silent. A
-// request that may run again is moved away from a hanging server while there is
-// time to serve it elsewhere, unless the service seems overloaded or its retry
-// budget is used up. All other requests wait until their deadline.
+// Whether a request may be moved away from a server that is silent for long.
+// All others wait until their deadline.
+bool Exchange::MayMove() const {
+  return route_->idempotent && runs_ + 1 < std::max(1, route_->attempts) &&
+         route_->objective.count() > 0;
+}
+
+// The time until which a server's silence is no sign that it hangs.
 TimePoint Exchange::SilenceLimit() const {
-  const bool last_run = runs_ + 1 >= std::max(1, route_->attempts);
-  if (!route_->idempotent || last_run || route_->objective.count() == 0 ||
-      parts_.late_share[service_] > kMaxLateShare ||
-      !parts_.retries.Allows(service_)) {
-    return deadline_;
-  }
   const auto predicted = std::chrono::duration_cast<coordination::Duration>(
       std::chrono::duration<double, std::milli>(predicted_ms_));
-  const auto patience = std::max<coordination::Duration>(
-      kSilentObjectives * route_->objective, kSilentObjectives * predicted);
-  return std::min(deadline_, Now() + patience);
+  return Now() + std::max<coordination::Duration>(
+                     kSilentObjectives * route_->objective,
+                     kSilentObjectives * predicted);
+}
+
+// Whether moving the request is likely to get it served sooner: another server
+// can take it in the time left, the service does not seem overloaded, and its
+// retry budget also allows to come back if the other one refuses.
+bool Exchange::ShouldMove(TimePoint now) const {
+  constexpr int kRetries = 2;
+  if (parts_.late_share[service_] > kMaxLateShare ||
+      !parts_.retries.Allows(service_, kRetries)) {
+    return false;
+  }
+  std::vector<std::string> avoided = tried_;
+  avoided.push_back(last_server_);
+  PlacementRequest request = MakePlacementRequest();
+  request.avoided = avoided;
+  const auto other =
+      parts_.balancer.Place(request, now, EjectedServers::kNever);
+  return other && ToMs(deadline_ - now) > other->cost_ms;
+}
+
+// Called when the server may have been silent for too long. Returns when to
+// look again, if the request stays there.
+std::optional<TimePoint> Exchange::OnSilence(TimePoint now) {
+  if (!MayMove() || now >= deadline_) {
+    return std::nullopt;
+  }
+  if (now < silent_after_) {
+    return silent_after_;
+  }
+  if (!server_awaited_ || !ShouldMove(now)) {
+    return now + kSilenceRecheck;
+  }
+  silent_servers_.push_back(last_server_);
+  connection_->Cancel(ServerError::kTimeout);
+  return std::nullopt;
 }
 
 // Whether the rules, the route and the shared retry budget allow another
@@ -361,9 +409,16 @@
     ++arrivals_;
     sent_at_ = Now();
     connection_->Send(FormatRequest(placement), body_);
-    const TimePoint limit = SilenceLimit();
+    silent_after_ = SilenceLimit();
+    SilenceTimer silence(parts_.context, parts_.clock,
+                         [this](TimePoint now) { return OnSilence(now); });
+    if (MayMove()) {
+      silence.Start(silent_after_);
+    }
+    server_awaited_ = true;
     auto head = co_await connection_->ReadHead(request_.request_id,
-                                               head_request_, limit);
+                                               head_request_, deadline_);
+    server_awaited_ = false;
     if (head) {
       step = co_await Answer(placement, std::move(head.value()), outcome);
     } else {
@@ -458,8 +513,10 @@
                                                 AttemptOutcome& outcome) {
   std::string body;
   while (true) {
-    const TimePoint limit = SilenceLimit();
-    auto piece = co_await connection_->ReadPiece(limit);
+    server_awaited_ = true;
+    auto piece = co_await connection_->ReadPiece(deadline_);
+    server_awaited_ = false;
+    silent_after_ = SilenceLimit();
     if (!piece || body.size() + piece.value().bytes.size() > kMaxHeldBytes) {
       if (piece) {
         last_error_ = "answer_too_large";
@@ -546,11 +603,11 @@
     const ResponseHead& head,
     AttemptOutcome& outcome) {
   EventSplitter events;
-  // Only whole events count as progress: a stalled server may go on sending
-  // comments or single bytes.
-  TimePoint limit = SilenceLimit();
+  silent_after_ = SilenceLimit();
   while (true) {
-    auto piece = co_await connection_->ReadPiece(limit);
+    server_awaited_ = true;
+    auto piece = co_await connection_->ReadPiece(deadline_);
+    server_awaited_ = false;
     if (!piece) {
       OnLost(placement, piece.error(), outcome);
       co_return Step::kMayHaveRun;
@@ -568,9 +625,11 @@
       whole += events.rest();
     }
     if (!whole.empty()) {
-      limit = SilenceLimit();
       MarkPromptRead(placement, true);
       const bool sent = co_await ForwardBytes(head, whole);
+      // Only whole events count as progress: a stalled server may go on sending
+      // comments or single bytes. The time that the caller took doesn't count.
+      silent_after_ = SilenceLimit();
       if (!sent) {
         connection_->Cancel();
         outcome = AttemptOutcome::kNeutral;
--- a/gateway/src/exchange.h
+++ b/gateway/src/exchange.h
@@ -50,6 +50,7 @@
   bool ResolveRoute(Refusal& refusal);
   void UpdateCacheScope();
   PlacementRequest MakePlacementRequest() const;
+  std::optional<Placement> Place(TimePoint now);
   asio::awaitable<void> RunAttempts();
   asio::awaitable<Step> TryServer(const Placement& placement);
   asio::awaitable<std::shared_ptr<ServerConnection>> Connect(
@@ -71,7 +72,10 @@
   bool MayRunAgain() const;
   std::optional<Millis> RetryAfterIfHopeless(const Placement& placement) const;
   bool MayTryAgain(Step step) const;
+  bool MayMove() const;
   TimePoint SilenceLimit() const;
+  bool ShouldMove(TimePoint now) const;
+  std::optional<TimePoint> OnSilence(TimePoint now);
   AttemptOutcome OutcomeOf(ServerError error) const;
   void OnLost(const Placement& placement,
               ServerError error,
@@ -101,6 +105,7 @@
 
   std::shared_ptr<ServerConnection> connection_;
   std::vector<std::string> tried_;
+  std::vector<std::string> silent_servers_;  // Left because they were silent.
   std::string last_server_;
   std::string last_error_;
   int runs_ = 0;      // Number of servers that may have run the request.
@@ -118,7 +123,9 @@
   bool prompt_pending_ = false;
   bool response_started_ = false;  // The response head was sent to the caller.
   double predicted_ms_ = 0;
-  TimePoint sent_at_{};  // Start of the present attempt.
+  TimePoint sent_at_{};       // Start of the present attempt.
+  TimePoint silent_after_{};  // When the silence of its server is too long.
+  bool server_awaited_ = false;
   TimePoint first_byte_{};
 };
 
--- a/gateway/src/load_balancer.cc
+++ b/gateway/src/load_balancer.cc
@@ -547,7 +547,8 @@
 }
 
 std::optional<Placement> LoadBalancer::Place(const PlacementRequest& request,
-                                             TimePoint now) const {
+                                             TimePoint now,
+                                             EjectedServers ejected) const {
   const Impl& impl = *impl_;
   const Prompt prompt = impl.AnalyzePrompt(request);
   const ScoredServer* best = nullptr;
@@ -574,7 +575,7 @@
         best = &it;
       }
     }
-    if (best != nullptr) {
+    if (best != nullptr || ejected == EjectedServers::kNever) {
       break;
     }
   }
--- a/gateway/src/server_connection.cc
+++ b/gateway/src/server_connection.cc
@@ -98,7 +98,7 @@
   std::string outgoing;
   std::array<char, kReadBytes> piece;
   bool sending = false;
-  bool cancelled = false;
+  std::optional<ServerError> cancelled;  // Why.
   bool can_reuse = false;  // The last response ended cleanly with keep-alive.
   TimePoint idle_since{};
   Millis idle_limit = kDefaultIdleLimit;
@@ -111,7 +111,7 @@
 
   ServerError Translate(const beast::error_code& ec) const {
     if (cancelled) {
-      return ServerError::kCancelled;
+      return *cancelled;
     }
     if (ec == beast::error::timeout) {
       return ServerError::kTimeout;
@@ -188,7 +188,7 @@
   const tcp::endpoint endpoint(address, server.port);
   auto [failed] = co_await self->stream.async_connect(endpoint, kNoThrow);
   if (failed) {
-    co_return self->cancelled ? ServerError::kCancelled : ServerError::kNotSent;
+    co_return self->cancelled.value_or(ServerError::kNotSent);
   }
   SetTcpOptions(self->stream.socket());
   co_return coordination::outcome::success();
@@ -244,8 +244,7 @@
     ++unrelated;
     const bool kept = co_await self->Discard(deadline);
     if (!kept) {
-      co_return self->cancelled ? ServerError::kCancelled
-                                : ServerError::kBroken;
+      co_return self->cancelled.value_or(ServerError::kBroken);
     }
   }
   co_return ServerError::kMalformed;
@@ -278,8 +277,8 @@
   co_return piece;
 }
 
-void ServerConnection::Cancel() {
-  impl_->cancelled = true;
+void ServerConnection::Cancel(ServerError why) {
+  impl_->cancelled = impl_->cancelled.value_or(why);
   impl_->Close();
 }
 
--- a/gateway/src/server_connection.h
+++ b/gateway/src/server_connection.h
@@ -61,8 +61,9 @@
   /** Reads the next piece of the body, as soon as some bytes are available. */
   asio::awaitable<Result<BodyPiece, ServerError>> ReadPiece(TimePoint deadline);
 
-  /** Cancels all pending operations and closes. Safe to call at any time. */
-  void Cancel();
+  /** Cancels all pending operations, which fail with `why`, and closes. Safe to
+   * call at any time. */
+  void Cancel(ServerError why = ServerError::kCancelled);
 
   /** Whether the connection can be reused after the exchange. */
   bool reusable() const;
