Bound the memory of answers without end

Seen by another operator: a faulty replica sent bytes without end, the machine that had called it kept them all, ran out of memory and ended with the requests of other clients (LOST). Cause here: a gateway bounded each plain answer (1 MB) but not all together; the HTTP client kept up to 64 MB of a report or of cache events, and any size line of a chunk or trailer; an agent kept plain answers without a bound. Change: incomplete answers of a gateway share a quarter of its memory, 16 KB each always fit; the client takes a limit for each server and buffers 64 KB at most until it can parse; an agent holds 8 MB of an answer and 32 MB of all. Measured: on EndlessBytes.OfManyAnswersAtOnceDoNotFillTheMemory (none of 48 answers of 900 KB given up beside 32 MB) and FaultyServer.BodyWithoutEndIsNotKeptUntilTheMemoryIsFull fail; they pass now, as does HttpClient.AResponseWithoutEndIsNotKeptUntilTheMemoryIsFull, which does not build there.

--- a/agent/src/backend_driver.cc
+++ b/agent/src/backend_driver.cc
@@ -31,6 +31,10 @@
 constexpr std::chrono::milliseconds kIdleTimeout{60000};
 // A server that lives accepts a connection within this time.
 constexpr std::chrono::milliseconds kDownTimeout{300};
+// Limits on plain responses, which are buffered until they are complete.
+constexpr std::size_t kMaxAnswerBytes = 8 << 20;
+constexpr std::size_t kMaxBufferedBytes = 32 << 20;  // Of all calls.
+constexpr std::size_t kFreeAnswerBytes = 64 << 10;   // Allowed in any case.
 constexpr std::string_view kDone = "[DONE]";
 constexpr std::string_view kEventStream = "text/event-stream";
 constexpr std::int32_t kFirstErrorStatus = 400;
@@ -100,6 +104,7 @@
   // Calls in the server; emitting the signal aborts the call's connection.
   std::unordered_map<AttemptId, std::shared_ptr<asio::cancellation_signal>>
       running;
+  std::size_t buffered = 0;  // Bytes in responses that are not complete yet.
 
   // Waits while the channel to the peers thread is full, which applies back
   // pressure to the server.
@@ -123,7 +128,12 @@
  public:
   using Report = std::function<asio::awaitable<void>(BackendReport)>;
 
-  CallSink(AttemptId id, Report report) : id_(id), report_(std::move(report)) {}
+  // `buffered` counts the bytes that all sinks hold.
+  CallSink(AttemptId id, std::size_t& buffered, Report report)
+      : id_(id), buffered_(buffered), report_(std::move(report)) {}
+  ~CallSink() override { buffered_ -= own_bytes_; }
+  CallSink(const CallSink&) = delete;
+  CallSink& operator=(const CallSink&) = delete;
 
   /** Whether the response head has arrived. */
   bool has_begun() const { return head_.status != 0; }
@@ -137,8 +147,7 @@
   asio::awaitable<bool> OnData(std::string_view data) override {
     co_await SendHead();
     if (!streamed_) {
-      body_.append(data);
-      co_return true;
+      co_return Buffer(data);
     }
     splitter_.Feed(data);
     while (auto event = splitter_.Next()) {
@@ -179,7 +188,22 @@
     }
   }
 
+  // False if the response has become too large.
+  bool Buffer(std::string_view data) {
+    const std::size_t own = own_bytes_ + data.size();
+    const bool shared_left = buffered_ + data.size() <= kMaxBufferedBytes;
+    if (own > kMaxAnswerBytes || (own > kFreeAnswerBytes && !shared_left)) {
+      return false;
+    }
+    own_bytes_ = own;
+    buffered_ += data.size();
+    body_.append(data);
+    return true;
+  }
+
   AttemptId id_;
+  std::size_t& buffered_;
+  std::size_t own_bytes_ = 0;
   Report report_;
   BackendHead head_;
   bool head_sent_ = false;
@@ -271,7 +295,8 @@
 
 asio::awaitable<void> BackendDriver::Impl::RunCall(BackendCall call) {
   const AttemptId id = call.id;
-  CallSink sink(id, [this](BackendReport it) { return Report(std::move(it)); });
+  CallSink sink(id, buffered,
+                [this](BackendReport it) { return Report(std::move(it)); });
   // Without the exception, a cancelled read fails like a broken connection, and
   // the code below still runs.
   co_await asio::this_coro::throw_if_cancelled(false);
--- a/gateway/include/gateway/settings.h
+++ b/gateway/include/gateway/settings.h
@@ -2,6 +2,7 @@
 #ifndef GATEWAY_SETTINGS_H_
 #define GATEWAY_SETTINGS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -34,6 +35,10 @@
 
 GatewaySettings ReadGatewaySettings(runtime::SettingsReader& reader);
 
+/** How many bytes all request bodies may use together, and how many all
+ * responses that are held back until they are complete. */
+std::size_t MaxBodyBytes(const GatewaySettings& settings);
+
 }  // namespace peridotgate::gateway
 
 #endif  // GATEWAY_SETTINGS_H_
--- a/gateway/src/cache_store_watch.cc
+++ b/gateway/src/cache_store_watch.cc
@@ -20,6 +20,8 @@
 using runtime::LogClass;
 using runtime::LogEvent;
 
+// A store keeps only its newest events.
+constexpr std::uint64_t kMaxChangesBytes = 4 << 20;
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
 // How long the store may hold a request, and so how soon a silent store is
@@ -110,7 +112,8 @@
     auto& store = it.stores[runtime::ToString(address)];
     if (!store) {
       store = std::shared_ptr<Impl::WatchedStore>(new Impl::WatchedStore{
-          address, runtime::HttpClient(it.duty.context(), address)});
+          address,
+          runtime::HttpClient(it.duty.context(), address, kMaxChangesBytes)});
       asio::co_spawn(it.duty.context(), it.Watch(store), asio::detached);
     }
   }
--- a/gateway/src/caller_connection.cc
+++ b/gateway/src/caller_connection.cc
@@ -32,17 +32,6 @@
 // Time for the first bytes of a request on a connection that was accepted while
 // the process stops.
 constexpr Millis kLastRequestTimeout{250};
-// Request bodies may use the process's memory divided by this, or the default
-// below if the size of the memory is unknown.
-constexpr std::size_t kBodyMemoryDivisor = 4;
-constexpr std::size_t kDefaultBodyBytes = 24 << 20;
-
-std::size_t MaxBodyBytes(const GatewaySettings& settings) {
-  constexpr double kBytesPerMb = 1 << 20;
-  const auto memory =
-      static_cast<std::size_t>(settings.memory_mb * kBytesPerMb);
-  return memory == 0 ? kDefaultBodyBytes : memory / kBodyMemoryDivisor;
-}
 
 // The status for a request that could not be read; 0 if the connection ended
 // properly.
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -70,7 +70,8 @@
       rules_(parts.view.rules),
       deadline_(began + kDefaultTimeout),
       head_request_(head_.method() == http::verb::head),
-      keep_alive_(keep) {}
+      keep_alive_(keep),
+      held_(parts.held_bytes, MaxBodyBytes(parts.settings)) {}
 
 asio::awaitable<bool> Exchange::Run() {
   Refusal refusal;
@@ -517,7 +518,8 @@
     auto piece = co_await connection_->ReadPiece(deadline_);
     server_awaited_ = false;
     silent_after_ = SilenceLimit();
-    if (!piece || body.size() + piece.value().bytes.size() > kMaxHeldBytes) {
+    const std::size_t n = piece ? piece.value().bytes.size() : 0;
+    if (!piece || body.size() + n > kMaxHeldBytes || !held_.Add(n)) {
       if (piece) {
         last_error_ = "answer_too_large";
         outcome = AttemptOutcome::kFailed;
--- a/gateway/src/exchange.h
+++ b/gateway/src/exchange.h
@@ -14,6 +14,7 @@
 #include "event_splitter.h"
 #include "gateway/load_balancer.h"
 #include "gateway/protocol.h"
+#include "held_bytes.h"
 #include "server_connection.h"
 #include "traffic_parts.h"
 
@@ -119,6 +120,7 @@
   };
 
   std::optional<CompleteResponse> failed_response_;
+  HeldBytes held_;
   // The server of this attempt has not processed the prompt yet.
   bool prompt_pending_ = false;
   bool response_started_ = false;  // The response head was sent to the caller.
--- a/gateway/src/rollout_leader.cc
+++ b/gateway/src/rollout_leader.cc
@@ -37,6 +37,7 @@
 constexpr Millis kStepPeriod{40};
 // A healthy server answers a report request or an order within this time.
 constexpr Millis kServerTimeout{250};
+constexpr std::uint64_t kMaxReportBytes = 256 << 10;
 // The holder renews the lease this often, and may act for somewhat longer after
 // a renewal, so that one lost answer does not end its leadership.
 constexpr Millis kRenewal{600};
@@ -304,8 +305,8 @@
   std::shared_ptr<runtime::HttpClient> GetClient(const RolloutTask& task) {
     auto& client = clients[task.server_id];
     if (!client) {
-      client =
-          std::make_shared<runtime::HttpClient>(duty.context(), task.address);
+      client = std::make_shared<runtime::HttpClient>(
+          duty.context(), task.address, kMaxReportBytes);
     }
     return client;
   }
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -9,6 +9,10 @@
 constexpr double kMaxMemoryMb = 1 << 20;
 constexpr double kMaxCores = 1024;
 constexpr double kThousandths = 1000;
+// Bodies may use the process's memory divided by this, or the default below if
+// the size of the memory is unknown.
+constexpr std::size_t kBodyMemoryDivisor = 4;
+constexpr std::size_t kDefaultBodyBytes = 24 << 20;
 
 }  // namespace
 
@@ -41,4 +45,11 @@
   return it;
 }
 
+std::size_t MaxBodyBytes(const GatewaySettings& settings) {
+  constexpr double kBytesPerMb = 1 << 20;
+  const auto memory =
+      static_cast<std::size_t>(settings.memory_mb * kBytesPerMb);
+  return memory == 0 ? kDefaultBodyBytes : memory / kBodyMemoryDivisor;
+}
+
 }  // namespace peridotgate::gateway
--- a/gateway/src/traffic_parts.h
+++ b/gateway/src/traffic_parts.h
@@ -43,6 +43,7 @@
   std::unordered_map<std::string, double> late_share = {};  // By service.
   std::set<CallerStream*> idle = {};  // Connections waiting for a request.
   std::size_t body_bytes = 0;  // Memory in bodies of requests being served.
+  std::size_t held_bytes = 0;  // Memory in responses that are not complete yet.
   // Called when the local usage changes.
   std::function<void()> on_usage_changed = {};
   bool keep_alive = true;
--- a/runtime/include/runtime/http.h
+++ b/runtime/include/runtime/http.h
@@ -114,10 +114,17 @@
   kFresh,  // Always a new connection, so that `kNotSent` is reliable.
 };
 
+/** The largest response body that `HttpClient::Fetch` returns by default. */
+inline constexpr std::uint64_t kMaxResponseBytes = 64 << 20;
+
 /** A client for one server. Not thread-safe: use on one io_context only. */
 class HttpClient {
  public:
-  HttpClient(asio::io_context& context, Endpoint server);
+  /** A server that is not trusted needs a `max_response_bytes` of its own:
+   * larger bodies are not read to their end. */
+  HttpClient(asio::io_context& context,
+             Endpoint server,
+             std::uint64_t max_response_bytes = kMaxResponseBytes);
   ~HttpClient();
 
   /** Sends `request` and returns the complete response. */
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -27,7 +27,9 @@
 constexpr std::size_t kMaxIdleStreams = 16;
 constexpr std::chrono::milliseconds kConnectTimeout{1000};
 constexpr std::size_t kReadBytes = 16 << 10;
-constexpr std::uint64_t kMaxResponseBytes = 64 << 20;
+// Bytes that are buffered until they can be parsed: a head, or the size line of
+// a chunk with its extensions, or the trailers.
+constexpr std::size_t kMaxBufferedBytes = 64 << 10;
 
 HttpError FromIoError(const beast::error_code& ec) {
   return ec == beast::error::timeout ? HttpError::kTimeout : HttpError::kBroken;
@@ -134,6 +136,7 @@
 struct HttpClient::Impl {
   asio::io_context& context;
   Endpoint server;
+  std::uint64_t max_response_bytes;
   std::vector<peridotgate::runtime::Stream> idle_streams;
 
   asio::awaitable<peridotgate::runtime::Stream> Connect(Connection connection) {
@@ -199,8 +202,10 @@
   }
 };
 
-HttpClient::HttpClient(asio::io_context& context, Endpoint server)
-    : impl_(new Impl{context, std::move(server), {}}) {}
+HttpClient::HttpClient(asio::io_context& context,
+                       Endpoint server,
+                       std::uint64_t max_response_bytes)
+    : impl_(new Impl{context, std::move(server), max_response_bytes, {}}) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -213,9 +218,9 @@
     co_return sent.error();
   }
   auto stream = std::move(sent.value());
-  beast::flat_buffer buf;
+  beast::flat_buffer buf(kMaxBufferedBytes);
   http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxResponseBytes);
+  parser.body_limit(impl_->max_response_bytes);
   auto [ec, n] = co_await http::async_read(*stream, buf, parser, kNoThrow);
   if (ec) {
     co_return impl_->OnFailure(ec);
@@ -236,7 +241,7 @@
     co_return sent.error();
   }
   auto stream = std::move(sent.value());
-  beast::flat_buffer buf;
+  beast::flat_buffer buf(kMaxBufferedBytes);
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(boost::none);
   auto [head, m] =
