Pass on no request that a planned stop would cut

Seen by another operator: requests that came late in the grace of a planned stop were passed on and cut at its end with no answer, bookings among them (LOST). Cause here: after the listening socket was closed, whatever was still read was served, however little time was left, at gateways (the rest of a head or a body, the listen queue) and at entries (any request on an open connection). At the end the process exited with its requests open. Change: the process knows when it stops. What comes late is passed on only if all of its time is left, any attempt only if it is expected to end in time; the rest is refused as not run. At the end open requests are answered with what is known. Measured: PlannedStop.DoesNotPassOnALateRequestThatItWouldCut, .AnswersABookingThatIsStillOpenAtTheEnd and their counterparts for the entry pass. They need the new interface, so they do not build before; there, PlannedStop.WaitsForTheRestOfABody shows that such a request is passed on at any time, and no code answered open requests at the exit.

--- a/entry/include/entry/caller_server.h
+++ b/entry/include/entry/caller_server.h
@@ -33,8 +33,12 @@
 
   /** Closes each connection after its next response from now on. */
   void DisableKeepAlive();
-  /** Closes the listening socket; open requests continue. */
-  void StopAccepting();
+  /** Closes the listening socket; open requests continue. Requests that come
+   * later, on open connections, are only taken if all of their time is left
+   * before `end`, when the process stops. */
+  void StopAccepting(coordination::TimePoint end);
+  /** Ends the calls that are still open: tells their callers what is known. */
+  void EndCalls();
   std::size_t open_requests() const;
 
  private:
--- a/entry/src/caller_server.cc
+++ b/entry/src/caller_server.cc
@@ -1,5 +1,6 @@
 #include "entry/caller_server.h"
 
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -60,6 +61,7 @@
   ProblemSender problems;
   std::shared_ptr<const RulesBook> rules;
   std::unordered_map<Id128, CallInbox*> inboxes;
+  std::optional<coordination::TimePoint> stops_at;
   runtime::HttpServer server;
 
   // If an agent refuses a call because it has newer rules, waits for these
@@ -166,6 +168,13 @@
     const std::string kind = call.route.dispatch.kind;
     const auto started = clock.Now();
     const bool streamed = call.streamed;
+    const coordination::Duration limit(call.route.dispatch.wait_limit_us);
+    if (stops_at && started + limit > *stops_at) {
+      Problem problem{503, wire::Outcome::kNotRun, "Stopping",
+                      "this entry stops; send the request again", 0};
+      co_await problems.Send(exchange, problem, id);
+      co_return true;
+    }
     CallInbox inbox(duty.context());
     co_await EndEarlierConnection(id);
     if (!inboxes.emplace(id, &inbox).second) {
@@ -255,10 +264,19 @@
   impl_->server.StopKeeping();
 }
 
-void CallerServer::StopAccepting() {
+void CallerServer::StopAccepting(coordination::TimePoint end) {
+  impl_->stops_at = end;
   impl_->server.StopAccepting();
 }
 
+void CallerServer::EndCalls() {
+  for (const auto& [id, inbox] : impl_->inboxes) {
+    CallEnd end{wire::Outcome::kUnknown, wire::Reason::kLateAnswer,
+                "the entry stops"};
+    inbox->Put(CallEvent{id, std::move(end)});
+  }
+}
+
 std::size_t CallerServer::open_requests() const {
   return impl_->server.open_requests();
 }
--- a/entry/src/process.cc
+++ b/entry/src/process.cc
@@ -1,5 +1,6 @@
 #include "entry/process.h"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 
@@ -26,6 +27,9 @@
 constexpr std::size_t kChannelCapacity = 65536;
 constexpr std::size_t kViewCapacity = 16;
 constexpr std::chrono::milliseconds kDrainPoll{50};
+// Time to answer the last calls before the process exits.
+constexpr std::chrono::milliseconds kEndTime{300};
+constexpr std::chrono::milliseconds kEndPoll{10};
 // Consecutive polls without an open request before a leaving entry stops. This
 // leaves time to read requests that were in transit when the listener closed.
 constexpr int kMinIdlePolls = 4;
@@ -168,7 +172,7 @@
 
   // Drains the entry: reports not ready but keeps accepting until the load
   // balancer has noticed, then waits for open requests for at most the shutdown
-  // grace period, then stops.
+  // grace period, answers what is left, then stops.
   asio::awaitable<void> WaitForSignal() {
     (void)co_await signals_.async_wait(asio::as_tuple(asio::use_awaitable));
     leaving_ = true;
@@ -177,13 +181,19 @@
     asio::post(callers_duty_.context(),
                [this] { callers_.DisableKeepAlive(); });
     co_await Pause(settings_.readiness_grace);
-    asio::post(callers_duty_.context(), [this] { callers_.StopAccepting(); });
-    const auto deadline = clock_.Now() + settings_.shutdown_grace;
+    const auto end = clock_.Now() + settings_.shutdown_grace;
+    const auto deadline = end - std::min(kEndTime, settings_.shutdown_grace);
+    asio::post(callers_duty_.context(),
+               [this, deadline] { callers_.StopAccepting(deadline); });
     int idle_polls = 0;
     while (idle_polls < kMinIdlePolls && clock_.Now() < deadline) {
       co_await Pause(kDrainPoll);
       idle_polls = callers_.open_requests() == 0 ? idle_polls + 1 : 0;
     }
+    asio::post(callers_duty_.context(), [this] { callers_.EndCalls(); });
+    while (callers_.open_requests() > 0 && clock_.Now() < end) {
+      co_await Pause(kEndPoll);
+    }
     control_duty_.context().stop();
   }
 
--- a/gateway/include/gateway/traffic.h
+++ b/gateway/include/gateway/traffic.h
@@ -33,11 +33,17 @@
   void OnView(FleetView view);
   void OnCacheStore(const CacheStoreUpdate& update);
 
+  /** The process stops at `time`: a request is only sent to a server if it can
+   * end before that. */
+  void StopBy(TimePoint time);
   /** Closes each connection after its next response from now on. */
   void StopKeepAlive();
   /** Accepts what callers have connected, then closes the listening socket and
    * idle connections. Requests that have reached this machine are served. */
   void StopAccepting();
+  /** Ends the requests that are still open: tells their callers what is known,
+   * and breaks off streams. */
+  void EndRequests();
   /** Whether nothing is left to serve after `StopAccepting`. Thread safe. */
   bool drained() const;
   /** Number of requests being served. Thread safe. */
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -31,6 +31,8 @@
 // Timeout of requests on routes without one.
 constexpr Millis kDefaultTimeout{60000};
 constexpr Millis kNoRulesRetry{300};
+// New connections go to other gateways.
+constexpr Millis kStoppingRetry{10};
 // A server is assumed to hang when it is silent for this many times the route's
 // objective and this many times the predicted time.
 constexpr int kSilentObjectives = 3;
@@ -71,7 +73,10 @@
       deadline_(began + kDefaultTimeout),
       head_request_(head_.method() == http::verb::head),
       keep_alive_(keep),
-      held_(parts.held_bytes, MaxBodyBytes(parts.settings)) {}
+      received_late_(!parts.accepting),
+      held_(parts.held_bytes, MaxBodyBytes(parts.settings)) {
+  parts_.exchanges.insert(this);
+}
 
 asio::awaitable<bool> Exchange::Run() {
   Refusal refusal;
@@ -91,6 +96,13 @@
   co_return keep_alive_ && !caller_.gone() && !caller_.aborted();
 }
 
+void Exchange::End() {
+  deadline_ = Now();
+  if (connection_) {
+    connection_->Cancel(ServerError::kTimeout);
+  }
+}
+
 // Finds the route, the organisation and the deadline.
 bool Exchange::ResolveRoute(Refusal& refusal) {
   if (!rules_) {
@@ -186,6 +198,10 @@
       co_await Refuse(refusal);
       co_return;
     }
+    if (EndsTooLate(*placement)) {
+      co_await RefuseBeforeStop();
+      co_return;
+    }
     const Step last = co_await TryServer(*placement);
     if (last == Step::kDone) {
       co_return;
@@ -218,6 +234,28 @@
   return parts_.admission.RetryAfter(request);
 }
 
+// Whether the process may stop before the request ends. One that came late gets
+// no chance unless all of its time is left.
+bool Exchange::EndsTooLate(const Placement& placement) const {
+  if (!parts_.stop_by) {
+    return false;
+  }
+  const auto predicted = std::chrono::duration_cast<coordination::Duration>(
+      std::chrono::duration<double, std::milli>(placement.cost_ms));
+  return (received_late_ ? deadline_ : Now() + predicted) > *parts_.stop_by;
+}
+
+// Another gateway can serve the request, if it has not run.
+asio::awaitable<void> Exchange::RefuseBeforeStop() {
+  last_error_ = "stopping";
+  if (runs_ > 0 || response_started_) {
+    co_await GiveUp();
+    co_return;
+  }
+  const Refusal refusal{503, "stopping", kStoppingRetry};
+  co_await Refuse(refusal);
+}
+
 // Ends a request with a part on which servers crash.
 asio::awaitable<void> Exchange::RefusePart(
     const coordination::PartVerdict& verdict) {
--- a/gateway/src/exchange.h
+++ b/gateway/src/exchange.h
@@ -36,9 +36,14 @@
            std::string body,
            TimePoint began,
            bool keep);
+  ~Exchange() { parts_.exchanges.erase(this); }
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
 
   /** Handles the request; returns whether the connection may be reused. */
   asio::awaitable<bool> Run();
+  /** Ends the request now, as if its time was over. */
+  void End();
 
  private:
   /** The result of one attempt at a server. */
@@ -71,6 +76,7 @@
   asio::awaitable<bool> ForwardBytes(const ResponseHead& head,
                                      std::string_view bytes);
   bool MayRunAgain() const;
+  bool EndsTooLate(const Placement& placement) const;
   std::optional<Millis> RetryAfterIfHopeless(const Placement& placement) const;
   bool MayTryAgain(Step step) const;
   bool MayMove() const;
@@ -83,6 +89,7 @@
               AttemptOutcome& outcome);
   asio::awaitable<void> GiveUp();
   asio::awaitable<void> Refuse(Refusal refusal);
+  asio::awaitable<void> RefuseBeforeStop();
   asio::awaitable<void> RefusePart(const coordination::PartVerdict& verdict);
   void MarkPromptRead(const Placement& placement, bool first_byte_came);
   void Finish(std::string_view outcome, unsigned status);
@@ -103,6 +110,8 @@
   TimePoint deadline_;
   bool head_request_ = false;
   bool keep_alive_;  // Keeps the caller's connection after the response.
+  // Came after the process stopped accepting connections.
+  const bool received_late_;
 
   std::shared_ptr<ServerConnection> connection_;
   std::vector<std::string> tried_;
--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -33,14 +33,15 @@
 constexpr std::size_t kViewCapacity = 64;
 constexpr Millis kViewRetry{20};
 constexpr Millis kDrainPoll{50};
-constexpr Millis kReleasePoll{10};
+constexpr Millis kEndPoll{10};
 // The load balancer in front keeps sending connections until two readiness
 // checks have failed, at one check a second.
 constexpr Millis kBalancerGrace{2500};
 // The process exits this long before it would be killed.
 constexpr Millis kStopMargin{500};
-// Time to release the lease of orders before the process exits.
-constexpr Millis kReleaseTime{300};
+// Time to answer the last requests and to release the lease of orders before
+// the process exits.
+constexpr Millis kEndTime{300};
 
 class Process {
  public:
@@ -214,15 +215,18 @@
 
   // Reports not ready at once, serves new requests until the load balancer has
   // noticed, lets open requests and a rollout that this gateway leads end within
-  // the grace period, then stops.
+  // the grace period, answers what is left, then stops.
   asio::awaitable<void> WaitForStop() {
     (void)co_await signals_.async_wait(kNoThrow);
     leaving_ = true;
     const auto grace = std::max(Millis(0), settings_.stop_within - kStopMargin);
     const auto deadline = clock_.Now() + grace;
     LogEvent("leaving", LogClass::kNotable).Add("why", "signal");
-    rollout_leader_.Leave(std::max(Millis(0), grace - kReleaseTime));
-    asio::post(traffic_duty_.context(), [this] { traffic_.StopKeepAlive(); });
+    rollout_leader_.Leave(std::max(Millis(0), grace - kEndTime));
+    asio::post(traffic_duty_.context(), [this, deadline] {
+      traffic_.StopBy(deadline);
+      traffic_.StopKeepAlive();
+    });
     co_await Pause(std::min(kBalancerGrace, grace));
     // An idle caller may reuse its connection at any time, and a late request
     // might not finish before the process is killed.
@@ -232,9 +236,11 @@
     } while ((!traffic_.drained() || rollout_leader_.leading()) &&
              clock_.Now() < deadline);
     rollout_leader_.Leave(Millis(0));
-    const auto released_by = clock_.Now() + kReleaseTime;
-    while (!rollout_leader_.ended() && clock_.Now() < released_by) {
-      co_await Pause(kReleasePoll);
+    asio::post(traffic_duty_.context(), [this] { traffic_.EndRequests(); });
+    const auto ends_by = clock_.Now() + kEndTime;
+    while ((!rollout_leader_.ended() || traffic_.open_requests() > 0) &&
+           clock_.Now() < ends_by) {
+      co_await Pause(kEndPoll);
     }
     control_duty_.context().stop();
   }
--- a/gateway/src/traffic.cc
+++ b/gateway/src/traffic.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "caller_connection.h"
+#include "exchange.h"
 #include "retry_limits.h"
 #include "traffic_parts.h"
 #include "usage_exchange.h"
@@ -167,6 +168,10 @@
   impl_->parts.balancer.OnCacheStore(update);
 }
 
+void Traffic::StopBy(TimePoint time) {
+  impl_->parts.stop_by = time;
+}
+
 void Traffic::StopKeepAlive() {
   impl_->parts.keep_alive = false;
 }
@@ -182,6 +187,12 @@
   }
 }
 
+void Traffic::EndRequests() {
+  for (Exchange* it : impl_->parts.exchanges) {
+    it->End();
+  }
+}
+
 bool Traffic::drained() const {
   return !impl_->parts.accepting && impl_->parts.connections == 0;
 }
--- a/gateway/src/traffic_parts.h
+++ b/gateway/src/traffic_parts.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -24,6 +25,7 @@
 namespace peridotgate::gateway {
 
 class CallerStream;
+class Exchange;
 
 /** One per process; used on the traffic thread only, apart from the
  * atomics. */
@@ -46,6 +48,9 @@
   std::size_t held_bytes = 0;  // Memory in responses that are not complete yet.
   // Called when the local usage changes.
   std::function<void()> on_usage_changed = {};
+  std::set<Exchange*> exchanges = {};  // Requests being served.
+  // While the process stops: when the last responses must have been sent.
+  std::optional<TimePoint> stop_by = {};
   bool keep_alive = true;
   std::atomic<bool> accepting{true};
   std::atomic<std::size_t> connections{0};  // Of callers.
