--- a/agent/tests/error/crashed_server_test.cc
+++ b/agent/tests/error/crashed_server_test.cc
@@ -71,9 +71,9 @@
 
 TEST(FaultyServer, BodyWithoutEndIsNotKeptUntilTheMemoryIsFull) {
   constexpr std::size_t kBytes = 9 << 20;
-  const auto failure = FailureOf(
-      {"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" +
-       std::string(kBytes, 'x')});
+  const auto failure =
+      FailureOf({"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" +
+                 std::string(kBytes, 'x')});
   ASSERT_TRUE(failure);
   EXPECT_TRUE(failure->handed_over);
   EXPECT_FALSE(failure->crashed);
--- a/coordination/include/coordination/lease.h
+++ b/coordination/include/coordination/lease.h
@@ -22,8 +22,8 @@
   std::int64_t token = 0;     // Increases with each new holder.
   std::int64_t revision = 0;  // Increases with each write.
   std::int64_t attempt = 0;   // Distinguishes the holder's writes.
-  // The store's time when the holder sent the write, or when it last acted if it
-  // released the lease, and never earlier; 0: unknown.
+  // The store's time when the holder sent the write, or when it last acted if
+  // it released the lease, and never earlier; 0: unknown.
   std::chrono::milliseconds stored{0};
 
   bool operator==(const LeaseRecord&) const = default;
--- a/coordination/tests/error/lease_test.cc
+++ b/coordination/tests/error/lease_test.cc
@@ -331,7 +331,8 @@
     SCOPED_TRACE("a store whose clock starts anew: the whole length counts");
     EXPECT_FALSE(FirstRead(row, now, milliseconds(1))
                      .TakesOver(now + 4 * kUnit - milliseconds(1)));
-    EXPECT_TRUE(FirstRead(row, now, milliseconds(1)).TakesOver(now + 4 * kUnit));
+    EXPECT_TRUE(
+        FirstRead(row, now, milliseconds(1)).TakesOver(now + 4 * kUnit));
   }
   {
     SCOPED_TRACE("the first releases it; the margin counts from then");
--- a/entry/tests/error/planned_stop_test.cc
+++ b/entry/tests/error/planned_stop_test.cc
@@ -1,5 +1,5 @@
-// An entry that stops on purpose passes on no call that it would cut, and leaves
-// no call without an answer.
+// An entry that stops on purpose passes on no call that it would cut, and
+// leaves no call without an answer.
 #include <array>
 #include <chrono>
 #include <functional>
--- a/gateway/include/gateway/fleet_source.h
+++ b/gateway/include/gateway/fleet_source.h
@@ -53,7 +53,7 @@
 
 /** A row that was written. */
 struct StoredWrite {
-  std::int64_t version = 0;  // Of the row.
+  std::int64_t version = 0;         // Of the row.
   std::optional<Millis> time = {};  // The store's steady clock, if it tells it.
 };
 
--- a/gateway/include/gateway/rollout_leader.h
+++ b/gateway/include/gateway/rollout_leader.h
@@ -41,9 +41,9 @@
   /** Another gateway reported progress, so it leads the rollout. */
   void OnPeerLeader();
   /** The process stops in `time` at the latest. Until then this gateway goes on
-   * leading a rollout, since the next holder may only start a lease margin after
-   * it, and starts to lead if no gateway that stays does. Then it releases the
-   * lease. */
+   * leading a rollout, since the next holder may only start a lease margin
+   * after it, and starts to lead if no gateway that stays does. Then it
+   * releases the lease. */
   void Leave(Millis time);
   /** Whether this gateway leads a rollout that is not finished. */
   bool leading() const;
--- a/gateway/include/gateway/rules.h
+++ b/gateway/include/gateway/rules.h
@@ -111,9 +111,10 @@
   /**
    * The scope within which the cached parts of a prompt may be reused, for
    * requests of the organisation with that name, or of none if it is empty. An
-   * organisation that is dedicated, or that these rules do not name, has a scope
-   * of its own. The others share one, which differs for each set of dedicated
-   * organisations, so that no part in it was ever made by one of these.
+   * organisation that is dedicated, or that these rules do not name, has a
+   * scope of its own. The others share one, which differs for each set of
+   * dedicated organisations, so that no part in it was ever made by one of
+   * these.
    */
   std::string CacheScope(std::string_view organisation) const;
   /** The service of that name, or null. */
--- a/gateway/include/gateway/settings.h
+++ b/gateway/include/gateway/settings.h
@@ -29,7 +29,7 @@
   Millis lease{3000};
   Millis weights_deadline{10000};
   double memory_mb = 0;  // 0: unknown.
-  int capacity = 0;      // Processor share in thousandths of a core; 0: unknown.
+  int capacity = 0;  // Processor share in thousandths of a core; 0: unknown.
   std::string log_level = "info";
 };
 
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -285,9 +285,9 @@
 TimePoint Exchange::SilenceLimit() const {
   const auto predicted = std::chrono::duration_cast<coordination::Duration>(
       std::chrono::duration<double, std::milli>(predicted_ms_));
-  return Now() + std::max<coordination::Duration>(
-                     kSilentObjectives * route_->objective,
-                     kSilentObjectives * predicted);
+  return Now() +
+         std::max<coordination::Duration>(kSilentObjectives * route_->objective,
+                                          kSilentObjectives * predicted);
 }
 
 // Whether moving the request is likely to get it served sooner: another server
--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -214,8 +214,8 @@
   }
 
   // Reports not ready at once, serves new requests until the load balancer has
-  // noticed, lets open requests and a rollout that this gateway leads end within
-  // the grace period, answers what is left, then stops.
+  // noticed, lets open requests and a rollout that this gateway leads end
+  // within the grace period, answers what is left, then stops.
   asio::awaitable<void> WaitForStop() {
     (void)co_await signals_.async_wait(kNoThrow);
     leaving_ = true;
--- a/gateway/src/rollout_leader.cc
+++ b/gateway/src/rollout_leader.cc
@@ -210,10 +210,11 @@
     coordination::Duration delay =
         rank < kEagerCandidates ? Millis(0) : kLeaderSilence;
     if (leaves_at) {
-      const double left = leave_time.count() == 0
-                              ? 0
-                              : static_cast<double>((*leaves_at - now).count()) /
-                                    static_cast<double>(leave_time.count());
+      const double left =
+          leave_time.count() == 0
+              ? 0
+              : static_cast<double>((*leaves_at - now).count()) /
+                    static_cast<double>(leave_time.count());
       const auto wait = std::chrono::duration_cast<coordination::Duration>(
           (1 - left) * (kLeaderSilence - kMinLeavingDelay));
       delay = std::max(delay, kMinLeavingDelay + wait);
--- a/gateway/tests/error/settings_test.cc
+++ b/gateway/tests/error/settings_test.cc
@@ -102,7 +102,8 @@
       std::string body =
           text.substr(begin + open.size(), end - begin - open.size());
       body.replace(body.find("{{.}}"), 5, value);
-      text.replace(begin, end + close.size() - begin, value.empty() ? "" : body);
+      text.replace(begin, end + close.size() - begin,
+                   value.empty() ? "" : body);
     }
     replace_all("{{" + name + "}}", value);
   }
@@ -124,8 +125,8 @@
       {"provider.address", "127.0.0.1:4"},
       {"seeds", "127.0.0.1:5,127.0.0.1:6"}};
   const std::vector<std::string> figures{
-      "bounds.grace_s",    "bounds.budget_ratio", "bounds.budget_slack",
-      "bounds.lease_ms",   "bounds.version_ms",   "limits.memory_mb",
+      "bounds.grace_s",  "bounds.budget_ratio", "bounds.budget_slack",
+      "bounds.lease_ms", "bounds.version_ms",   "limits.memory_mb",
       "limits.cpu_share"};
   for (const char* figure : {"7.5", "7", ""}) {
     SCOPED_TRACE(figure);
--- a/runtime/tests/error/http_client_test.cc
+++ b/runtime/tests/error/http_client_test.cc
@@ -82,7 +82,8 @@
   for (const bool streamed : {false, true}) {
     for (const auto& [prefix, repeated] : floods) {
       SCOPED_TRACE((streamed ? "streamed " : "whole ") + prefix);
-      const bool endless_body = repeated != block || prefix.ends_with("\r\n\r\n");
+      const bool endless_body =
+          repeated != block || prefix.ends_with("\r\n\r\n");
       if (streamed && endless_body) {
         continue;  // A streamed body is not kept.
       }
