Log transfers of large rows and calls for rows that fail

Cause: the log showed neither how long a copy of the rows took nor that one was given up, so slow links, slow processors and histories without end looked the same. Change: the event rows_transfer (from, table, outcome, rows, bytes, ms).

--- a/gateway/src/follower.cc
+++ b/gateway/src/follower.cc
@@ -39,6 +39,16 @@
 // Delay between probes of peers, which go on while nobody reads the store.
 constexpr Millis kProbePause{20};
 constexpr Millis kExpiryPeriod{250};
+// Rows of this size or more are logged when they arrive.
+constexpr std::size_t kLargeRowBytes = 64 << 10;
+
+std::size_t ValueBytes(const StoredRows& rows) {
+  std::size_t n = 0;
+  for (const StoredRow& it : rows.rows) {
+    n += it.value.size();
+  }
+  return n;
+}
 
 }  // namespace
 
@@ -116,7 +126,9 @@
         continue;
       }
       const bool whole = table.whole;
+      const TimePoint started = clock.Now();
       auto rows = co_await Read(table);
+      LogTransfer("store", table, rows ? &rows.value() : nullptr, started);
       if (rows) {
         OnStoreRows(table, rows.value(), whole);
         if (table.feed == Feed::kServers && !rows.value().rows.empty()) {
@@ -183,6 +195,24 @@
     }
   }
 
+  // Logs the transfer of large rows, and each call that failed.
+  void LogTransfer(const std::string& from,
+                   const Table& table,
+                   const StoredRows* rows,
+                   TimePoint started) const {
+    const std::size_t bytes = rows != nullptr ? ValueBytes(*rows) : 0;
+    if (rows != nullptr && bytes < kLargeRowBytes) {
+      return;
+    }
+    LogEvent("rows_transfer", LogClass::kNotable)
+        .Add("from", from)
+        .Add("table", table.name)
+        .Add("outcome", rows != nullptr ? "received" : "failed")
+        .Add("rows", rows != nullptr ? rows->rows.size() : 0)
+        .Add("bytes", bytes)
+        .Add("ms", std::chrono::ceil<Millis>(clock.Now() - started).count());
+  }
+
   void LogReaderLost(const std::optional<PeerRows>& rows) const {
     const auto age = plan.Age(clock.Now());
     LogEvent("reader_lost", LogClass::kNotable)
@@ -242,7 +272,11 @@
       mark.version = it->rows.version();
       query.tables.push_back(std::move(mark));
     }
+    const TimePoint started = clock.Now();
     const auto copy = co_await ask(peer, std::move(query));
+    if (!copy) {
+      LogTransfer(runtime::ToString(peer), rules, nullptr, started);
+    }
     std::optional<PeerRows> rows;
     if (copy && copy->age_ms >= 0) {
       rows = PeerRows{Millis(copy->age_ms), copy->from_store};
@@ -260,12 +294,14 @@
       LogReaderLost(rows);
     }
     if (copy) {
-      ApplyCopy(*copy);
+      ApplyCopy(*copy, runtime::ToString(peer), started);
     }
     co_return fresh;
   }
 
-  void ApplyCopy(const wire::FeedCopy& copy) {
+  void ApplyCopy(const wire::FeedCopy& copy,
+                 const std::string& from,
+                 TimePoint started) {
     for (const wire::TableCopy& table_copy : copy.tables) {
       Table* table = table_copy.name == rules.name     ? &rules
                      : table_copy.name == servers.name ? &servers
@@ -278,6 +314,7 @@
       for (const wire::RowCopy& it : table_copy.rows) {
         rows.rows.push_back({it.key, it.value, it.version, it.removed});
       }
+      LogTransfer(from, *table, &rows, started);
       OnRows(*table, rows, table_copy.whole);
     }
   }
