Bound calls for rows by their progress and not by their length

A copy that takes longer on the link was given up and started again from its first byte, beside the next one: late by several seconds, or never there.

--- a/gateway/src/peer_links.cc
+++ b/gateway/src/peer_links.cc
@@ -36,8 +36,10 @@
 // A gateway whose row did not change for this long is considered dead.
 constexpr Millis kPresenceTimeout{40000};
 constexpr Millis kPeerTimeout{400};
-// How much longer than its hold time a query for rows may take.
+// How much longer than its hold time a query for rows may take to its first
+// byte, and the longest time between bytes.
 constexpr Millis kRowsMargin{300};
+constexpr Millis kRowsTimeout{10000};
 
 // A registration is "DATA_CENTRE INCARNATION RENEWALS CAPACITY"; rows of
 // earlier versions end before the capacity.
@@ -240,10 +242,11 @@
       wire::FeedQuery query) {
     // Keeps the client alive if the peer is removed meanwhile.
     const auto client = GetPeer(address).client;
-    const Millis timeout = Millis(query.wait_ms) + kRowsMargin;
+    const runtime::TransferLimits limits{Millis(query.wait_ms) + kRowsMargin,
+                                         kRowsMargin, kRowsTimeout};
     auto request = runtime::MakeRequest(http::verb::post, kRowsPath,
                                         wire::EncodeStruct(query), kThrift);
-    auto answer = co_await client->Fetch(std::move(request), timeout);
+    auto answer = co_await client->Fetch(std::move(request), limits);
     if (!answer || answer.value().result() != http::status::ok) {
       co_return std::nullopt;
     }
--- a/runtime/include/runtime/http.h
+++ b/runtime/include/runtime/http.h
@@ -114,6 +114,20 @@
   kFresh,  // Always a new connection, so that `kNotSent` is reliable.
 };
 
+/** Time limits of an exchange whose response may be large: they bound the time
+ * without progress rather than the time that the bytes take on a slow link. */
+struct TransferLimits {
+  std::chrono::milliseconds first_byte{};  // From the request.
+  std::chrono::milliseconds idle{};        // Between bytes of the response.
+  std::chrono::milliseconds total{};
+};
+
+/** Limits for a response that makes progress within each `timeout`. */
+constexpr TransferLimits WithProgress(std::chrono::milliseconds timeout) {
+  constexpr int kMaxTimeouts = 10;
+  return {timeout, timeout, kMaxTimeouts * timeout};
+}
+
 /** The largest response body that `HttpClient::Fetch` returns by default. */
 inline constexpr std::uint64_t kMaxResponseBytes = 64 << 20;
 
@@ -133,6 +147,12 @@
       std::chrono::milliseconds timeout,
       Connection connection = Connection::kKept);
 
+  /** Does the same for a response that may be large. */
+  asio::awaitable<Result<HttpResponse, HttpError>> Fetch(
+      HttpRequest request,
+      TransferLimits limits,
+      Connection connection = Connection::kKept);
+
   /**
    * Sends `request` and streams the response to `sink`. `idle` limits the wait
    * for each read.
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -1,4 +1,6 @@
 // The client half of runtime/http.h.
+#include <algorithm>
+#include <chrono>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -231,6 +233,35 @@
   co_return parser.release();
 }
 
+asio::awaitable<Result<HttpResponse, HttpError>> HttpClient::Fetch(
+    HttpRequest request,
+    TransferLimits limits,
+    Connection connection) {
+  const auto end = std::chrono::steady_clock::now() + limits.total;
+  auto sent = co_await impl_->Send(request, limits.first_byte, connection);
+  if (!sent) {
+    co_return sent.error();
+  }
+  auto stream = std::move(sent.value());
+  beast::flat_buffer buf(kMaxBufferedBytes);
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(impl_->max_response_bytes);
+  parser.eager(true);
+  while (!parser.is_done()) {
+    auto [ec, n] =
+        co_await http::async_read_some(*stream, buf, parser, kNoThrow);
+    if (ec) {
+      co_return impl_->OnFailure(ec);
+    }
+    stream->expires_at(
+        std::min(end, std::chrono::steady_clock::now() + limits.idle));
+  }
+  if (parser.get().keep_alive()) {
+    impl_->KeepIdle(std::move(stream));
+  }
+  co_return parser.release();
+}
+
 asio::awaitable<Result<void, HttpError>> HttpClient::Stream(
     HttpRequest request,
     HttpSink& sink,
