--- a/gateway/include/gateway/row_table.h
+++ b/gateway/include/gateway/row_table.h
@@ -3,10 +3,12 @@
 #ifndef GATEWAY_ROW_TABLE_H_
 #define GATEWAY_ROW_TABLE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "gateway/fleet_source.h"
 
@@ -27,6 +29,12 @@
   /** The rows that changed after `version`; nothing if the history does not
    * reach back that far. */
   std::optional<StoredRows> ChangesAfter(std::int64_t version) const;
+  /** Whether rows changed after `version`, or may have. */
+  bool HasChangesAfter(std::int64_t version) const;
+  /** The row with this key, or null; it may be a tombstone. */
+  const StoredRow* Find(const std::string& key) const;
+  /** The rows with values of at least `bytes`. */
+  std::vector<const StoredRow*> LargeRows(std::size_t bytes) const;
   /** All rows except tombstones. */
   StoredRows All() const;
 
--- a/gateway/src/follower.cc
+++ b/gateway/src/follower.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "gateway/row_table.h"
+#include "row_patch.h"
 #include "runtime/event_log.h"
 
 namespace peridotgate::gateway {
@@ -97,6 +98,9 @@
     bool lost = false;
     Millis pause = kRetryPause;  // Delay after the next failure.
     RowTable rows = {};
+    RowPatches patches = {};
+    // A patch did not fit, so that the next copy must not need a base.
+    bool without_base = false;
   };
 
   runtime::Duty& duty;
@@ -162,24 +166,6 @@
     OnRows(table, rows, whole);
   }
 
-  void OnRows(Table& table, const StoredRows& rows, bool whole) {
-    // Ignores an answer that is older than the known rows.
-    if (!table.rows.Apply(rows, whole)) {
-      return;
-    }
-    const TimePoint now = clock.Now();
-    if (table.feed == Feed::kServers) {
-      state.OnServerRows(rows, whole, now);
-    } else {
-      state.OnOperatorRows(rows, now);
-    }
-    table.whole = false;
-    PublishChanges();
-    if (!rows.rows.empty()) {
-      AnswerHeldQueries();
-    }
-  }
-
   void AnswerHeldQueries() {
     for (asio::steady_timer* it : held_queries) {
       it->cancel();
@@ -266,11 +252,9 @@
     const runtime::Endpoint peer = std::move(to.peer);
     wire::FeedQuery query;
     query.wait_ms = to.probe ? 0 : kPeerWait.count();
+    query.patches = true;
     for (const Table* it : {&rules, &servers}) {
-      wire::TableMark mark;
-      mark.name = it->name;
-      mark.version = it->rows.version();
-      query.tables.push_back(std::move(mark));
+      query.tables.push_back(MakeMark(*it));
     }
     const TimePoint started = clock.Now();
     const auto copy = co_await ask(peer, std::move(query));
@@ -295,44 +279,86 @@
     }
     if (copy) {
       ApplyCopy(*copy, runtime::ToString(peer), started);
-    }
+      }
     co_return fresh;
   }
 
+  static wire::TableMark MakeMark(const Table& table) {
+    wire::TableMark mark;
+    mark.name = table.name;
+    mark.version = table.rows.version();
+    if (table.without_base) {
+      return mark;
+    }
+    for (const StoredRow* it : table.rows.LargeRows(kMinPatchedBytes)) {
+      wire::RowMark row;
+      row.key = it->key;
+      row.version = it->version;
+      mark.rows.push_back(std::move(row));
+    }
+    return mark;
+  }
+
   void ApplyCopy(const wire::FeedCopy& copy,
                  const std::string& from,
                  TimePoint started) {
     for (const wire::TableCopy& table_copy : copy.tables) {
-      Table* table = table_copy.name == rules.name     ? &rules
-                     : table_copy.name == servers.name ? &servers
-                                                       : nullptr;
+      Table* table = FindTable(table_copy.name);
       if (table == nullptr || table_copy.version == 0) {
         continue;
       }
-      StoredRows rows;
-      rows.version = table_copy.version;
-      for (const wire::RowCopy& it : table_copy.rows) {
-        rows.rows.push_back({it.key, it.value, it.version, it.removed});
+      auto rows = ReadCopy(*table, table_copy);
+      table->without_base = !rows;
+      if (!rows) {
+        LogEvent("patch_rejected", LogClass::kNotable)
+            .Add("from", from)
+            .Add("table", table->name)
+            .Add("version", table_copy.version);
+        continue;
       }
-      LogTransfer(from, *table, &rows, started);
-      OnRows(*table, rows, table_copy.whole);
+      LogTransfer(from, *table, &*rows, started);
+      OnRows(*table, *rows, table_copy.whole);
     }
   }
 
-  const Table* FindTable(const std::string& name) const {
+  // Returns nothing if a patch does not fit the known rows.
+  static std::optional<StoredRows> ReadCopy(const Table& table,
+                                            const wire::TableCopy& copy) {
+    StoredRows rows;
+    rows.version = copy.version;
+    for (const wire::RowCopy& it : copy.rows) {
+      StoredRow row{it.key, it.value, it.version, it.removed};
+      if (it.__isset.patch) {
+        const StoredRow* base = table.rows.Find(it.key);
+        const bool fits =
+            it.patch.base_version == 0 ||
+            (base != nullptr && base->version == it.patch.base_version);
+        auto value =
+            fits ? ApplyPatch(base != nullptr ? base->value : "", it.patch)
+                 : std::nullopt;
+        if (!value) {
+          return std::nullopt;
+        }
+        row.value = std::move(*value);
+      }
+      rows.rows.push_back(std::move(row));
+    }
+    return rows;
+  }
+
+  Table* FindTable(const std::string& name) {
     return name == rules.name     ? &rules
            : name == servers.name ? &servers
                                   : nullptr;
   }
 
-  bool HasChangesFor(const wire::FeedQuery& query) const {
+  bool HasChangesFor(const wire::FeedQuery& query) {
     for (const wire::TableMark& mark : query.tables) {
       const Table* table = FindTable(mark.name);
       if (table == nullptr) {
         continue;
       }
-      const auto changes = table->rows.ChangesAfter(mark.version);
-      if (!changes || !changes->rows.empty()) {
+      if (table->rows.HasChangesAfter(mark.version)) {
         return true;
       }
     }
@@ -352,16 +378,19 @@
     copy.age_ms = age ? std::chrono::ceil<Millis>(*age).count() : -1;
     copy.from_store = plan.IsDirect(clock.Now());
     for (const wire::TableMark& mark : query.tables) {
-      if (const Table* table = FindTable(mark.name)) {
-        copy.tables.push_back(MakeCopy(*table, mark.version));
+      if (Table* table = FindTable(mark.name)) {
+        copy.tables.push_back(MakeCopy(*table, mark, query.patches));
       }
     }
     co_return copy;
   }
 
-  static wire::TableCopy MakeCopy(const Table& table, std::int64_t after) {
-    const auto changes =
-        after == 0 ? std::nullopt : table.rows.ChangesAfter(after);
+  static wire::TableCopy MakeCopy(Table& table,
+                                  const wire::TableMark& mark,
+                                  bool patches) {
+    const auto changes = mark.version == 0
+                             ? std::nullopt
+                             : table.rows.ChangesAfter(mark.version);
     const StoredRows rows = changes ? *changes : table.rows.All();
     wire::TableCopy copy;
     copy.name = table.name;
@@ -370,9 +399,17 @@
     for (const StoredRow& it : rows.rows) {
       wire::RowCopy row;
       row.key = it.key;
-      row.value = it.value;
       row.version = it.version;
       row.removed = it.removed;
+      if (patches && !it.removed && it.value.size() >= kMinPatchedBytes) {
+        const auto base = std::find_if(
+            mark.rows.begin(), mark.rows.end(),
+            [&](const auto& known) { return known.key == it.key; });
+        row.__set_patch(
+            table.patches.Get(it, base == mark.rows.end() ? 0 : base->version));
+      } else {
+        row.value = it.value;
+      }
       copy.rows.push_back(std::move(row));
     }
     return copy;
--- a/gateway/src/row_table.cc
+++ b/gateway/src/row_table.cc
@@ -56,6 +56,28 @@
   return changes;
 }
 
+bool RowTable::HasChangesAfter(std::int64_t version) const {
+  return version < history_start_ ||
+         std::any_of(rows_.begin(), rows_.end(), [&](const auto& it) {
+           return it.second.version > version;
+         });
+}
+
+const StoredRow* RowTable::Find(const std::string& key) const {
+  const auto found = rows_.find(key);
+  return found == rows_.end() ? nullptr : &found->second;
+}
+
+std::vector<const StoredRow*> RowTable::LargeRows(std::size_t bytes) const {
+  std::vector<const StoredRow*> large;
+  for (const auto& [key, row] : rows_) {
+    if (row.value.size() >= bytes) {
+      large.push_back(&row);
+    }
+  }
+  return large;
+}
+
 StoredRows RowTable::All() const {
   StoredRows all;
   all.version = version_;
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -8378,6 +8378,338 @@
 }
 
 
+RowPiece::~RowPiece() noexcept {
+}
+
+
+void RowPiece::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void RowPiece::__set_size(const int64_t val) {
+  this->size = val;
+}
+std::ostream& operator<<(std::ostream& out, const RowPiece& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RowPiece::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->size);
+          this->__isset.size = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RowPiece::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RowPiece");
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("size", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->size);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RowPiece &a, RowPiece &b) {
+  using ::std::swap;
+  swap(a.offset, b.offset);
+  swap(a.size, b.size);
+  swap(a.__isset, b.__isset);
+}
+
+RowPiece::RowPiece(const RowPiece& other297) noexcept {
+  offset = other297.offset;
+  size = other297.size;
+  __isset = other297.__isset;
+}
+RowPiece::RowPiece(RowPiece&& other298) noexcept {
+  offset = other298.offset;
+  size = other298.size;
+  __isset = other298.__isset;
+}
+RowPiece& RowPiece::operator=(const RowPiece& other299) noexcept {
+  offset = other299.offset;
+  size = other299.size;
+  __isset = other299.__isset;
+  return *this;
+}
+RowPiece& RowPiece::operator=(RowPiece&& other300) noexcept {
+  offset = other300.offset;
+  size = other300.size;
+  __isset = other300.__isset;
+  return *this;
+}
+void RowPiece::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RowPiece(";
+  out << "offset=" << to_string(offset);
+  out << ", " << "size=" << to_string(size);
+  out << ")";
+}
+
+
+RowPatch::~RowPatch() noexcept {
+}
+
+
+void RowPatch::__set_base_version(const int64_t val) {
+  this->base_version = val;
+}
+
+void RowPatch::__set_pieces(const std::vector<RowPiece> & val) {
+  this->pieces = val;
+}
+
+void RowPatch::__set_literals(const std::string& val) {
+  this->literals = val;
+}
+
+void RowPatch::__set_literal_bytes(const int64_t val) {
+  this->literal_bytes = val;
+}
+
+void RowPatch::__set_checksum(const int64_t val) {
+  this->checksum = val;
+}
+std::ostream& operator<<(std::ostream& out, const RowPatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RowPatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_version);
+          this->__isset.base_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pieces.clear();
+            uint32_t _size301;
+            ::apache::thrift::protocol::TType _etype304;
+            xfer += iprot->readListBegin(_etype304, _size301);
+            this->pieces.resize(_size301);
+            uint32_t _i305;
+            for (_i305 = 0; _i305 < _size301; ++_i305)
+            {
+              xfer += this->pieces[_i305].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pieces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->literals);
+          this->__isset.literals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->literal_bytes);
+          this->__isset.literal_bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->checksum);
+          this->__isset.checksum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RowPatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RowPatch");
+
+  xfer += oprot->writeFieldBegin("base_version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->base_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pieces", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pieces.size()));
+    std::vector<RowPiece> ::const_iterator _iter306;
+    for (_iter306 = this->pieces.begin(); _iter306 != this->pieces.end(); ++_iter306)
+    {
+      xfer += (*_iter306).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("literals", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->literals);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("literal_bytes", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->literal_bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checksum", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->checksum);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RowPatch &a, RowPatch &b) {
+  using ::std::swap;
+  swap(a.base_version, b.base_version);
+  swap(a.pieces, b.pieces);
+  swap(a.literals, b.literals);
+  swap(a.literal_bytes, b.literal_bytes);
+  swap(a.checksum, b.checksum);
+  swap(a.__isset, b.__isset);
+}
+
+RowPatch::RowPatch(const RowPatch& other307) {
+  base_version = other307.base_version;
+  pieces = other307.pieces;
+  literals = other307.literals;
+  literal_bytes = other307.literal_bytes;
+  checksum = other307.checksum;
+  __isset = other307.__isset;
+}
+RowPatch::RowPatch(RowPatch&& other308) noexcept {
+  base_version = other308.base_version;
+  pieces = std::move(other308.pieces);
+  literals = std::move(other308.literals);
+  literal_bytes = other308.literal_bytes;
+  checksum = other308.checksum;
+  __isset = other308.__isset;
+}
+RowPatch& RowPatch::operator=(const RowPatch& other309) {
+  base_version = other309.base_version;
+  pieces = other309.pieces;
+  literals = other309.literals;
+  literal_bytes = other309.literal_bytes;
+  checksum = other309.checksum;
+  __isset = other309.__isset;
+  return *this;
+}
+RowPatch& RowPatch::operator=(RowPatch&& other310) noexcept {
+  base_version = other310.base_version;
+  pieces = std::move(other310.pieces);
+  literals = std::move(other310.literals);
+  literal_bytes = other310.literal_bytes;
+  checksum = other310.checksum;
+  __isset = other310.__isset;
+  return *this;
+}
+void RowPatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RowPatch(";
+  out << "base_version=" << to_string(base_version);
+  out << ", " << "pieces=" << to_string(pieces);
+  out << ", " << "literals=" << to_string(literals);
+  out << ", " << "literal_bytes=" << to_string(literal_bytes);
+  out << ", " << "checksum=" << to_string(checksum);
+  out << ")";
+}
+
+
 RowCopy::~RowCopy() noexcept {
 }
 
@@ -8397,6 +8729,11 @@
 void RowCopy::__set_removed(const bool val) {
   this->removed = val;
 }
+
+void RowCopy::__set_patch(const RowPatch& val) {
+  this->patch = val;
+__isset.patch = true;
+}
 std::ostream& operator<<(std::ostream& out, const RowCopy& obj)
 {
   obj.printTo(out);
@@ -8457,6 +8794,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->patch.read(iprot);
+          this->__isset.patch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8490,6 +8835,11 @@
   xfer += oprot->writeBool(this->removed);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.patch) {
+    xfer += oprot->writeFieldBegin("patch", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->patch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8501,37 +8851,42 @@
   swap(a.value, b.value);
   swap(a.version, b.version);
   swap(a.removed, b.removed);
+  swap(a.patch, b.patch);
   swap(a.__isset, b.__isset);
 }
 
-RowCopy::RowCopy(const RowCopy& other297) {
-  key = other297.key;
-  value = other297.value;
-  version = other297.version;
-  removed = other297.removed;
-  __isset = other297.__isset;
-}
-RowCopy::RowCopy(RowCopy&& other298) noexcept {
-  key = std::move(other298.key);
-  value = std::move(other298.value);
-  version = other298.version;
-  removed = other298.removed;
-  __isset = other298.__isset;
-}
-RowCopy& RowCopy::operator=(const RowCopy& other299) {
-  key = other299.key;
-  value = other299.value;
-  version = other299.version;
-  removed = other299.removed;
-  __isset = other299.__isset;
+RowCopy::RowCopy(const RowCopy& other311) {
+  key = other311.key;
+  value = other311.value;
+  version = other311.version;
+  removed = other311.removed;
+  patch = other311.patch;
+  __isset = other311.__isset;
+}
+RowCopy::RowCopy(RowCopy&& other312) noexcept {
+  key = std::move(other312.key);
+  value = std::move(other312.value);
+  version = other312.version;
+  removed = other312.removed;
+  patch = std::move(other312.patch);
+  __isset = other312.__isset;
+}
+RowCopy& RowCopy::operator=(const RowCopy& other313) {
+  key = other313.key;
+  value = other313.value;
+  version = other313.version;
+  removed = other313.removed;
+  patch = other313.patch;
+  __isset = other313.__isset;
   return *this;
 }
-RowCopy& RowCopy::operator=(RowCopy&& other300) noexcept {
-  key = std::move(other300.key);
-  value = std::move(other300.value);
-  version = other300.version;
-  removed = other300.removed;
-  __isset = other300.__isset;
+RowCopy& RowCopy::operator=(RowCopy&& other314) noexcept {
+  key = std::move(other314.key);
+  value = std::move(other314.value);
+  version = other314.version;
+  removed = other314.removed;
+  patch = std::move(other314.patch);
+  __isset = other314.__isset;
   return *this;
 }
 void RowCopy::printTo(std::ostream& out) const {
@@ -8541,6 +8896,7 @@
   out << ", " << "value=" << to_string(value);
   out << ", " << "version=" << to_string(version);
   out << ", " << "removed=" << to_string(removed);
+  out << ", " << "patch="; (__isset.patch ? (out << to_string(patch)) : (out << "<null>"));
   out << ")";
 }
 
@@ -8620,14 +8976,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size301;
-            ::apache::thrift::protocol::TType _etype304;
-            xfer += iprot->readListBegin(_etype304, _size301);
-            this->rows.resize(_size301);
-            uint32_t _i305;
-            for (_i305 = 0; _i305 < _size301; ++_i305)
+            uint32_t _size315;
+            ::apache::thrift::protocol::TType _etype318;
+            xfer += iprot->readListBegin(_etype318, _size315);
+            this->rows.resize(_size315);
+            uint32_t _i319;
+            for (_i319 = 0; _i319 < _size315; ++_i319)
             {
-              xfer += this->rows[_i305].read(iprot);
+              xfer += this->rows[_i319].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8668,10 +9024,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<RowCopy> ::const_iterator _iter306;
-    for (_iter306 = this->rows.begin(); _iter306 != this->rows.end(); ++_iter306)
+    std::vector<RowCopy> ::const_iterator _iter320;
+    for (_iter320 = this->rows.begin(); _iter320 != this->rows.end(); ++_iter320)
     {
-      xfer += (*_iter306).write(oprot);
+      xfer += (*_iter320).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8691,34 +9047,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TableCopy::TableCopy(const TableCopy& other307) {
-  name = other307.name;
-  version = other307.version;
-  whole = other307.whole;
-  rows = other307.rows;
-  __isset = other307.__isset;
+TableCopy::TableCopy(const TableCopy& other321) {
+  name = other321.name;
+  version = other321.version;
+  whole = other321.whole;
+  rows = other321.rows;
+  __isset = other321.__isset;
 }
-TableCopy::TableCopy(TableCopy&& other308) noexcept {
-  name = std::move(other308.name);
-  version = other308.version;
-  whole = other308.whole;
-  rows = std::move(other308.rows);
-  __isset = other308.__isset;
+TableCopy::TableCopy(TableCopy&& other322) noexcept {
+  name = std::move(other322.name);
+  version = other322.version;
+  whole = other322.whole;
+  rows = std::move(other322.rows);
+  __isset = other322.__isset;
 }
-TableCopy& TableCopy::operator=(const TableCopy& other309) {
-  name = other309.name;
-  version = other309.version;
-  whole = other309.whole;
-  rows = other309.rows;
-  __isset = other309.__isset;
+TableCopy& TableCopy::operator=(const TableCopy& other323) {
+  name = other323.name;
+  version = other323.version;
+  whole = other323.whole;
+  rows = other323.rows;
+  __isset = other323.__isset;
   return *this;
 }
-TableCopy& TableCopy::operator=(TableCopy&& other310) noexcept {
-  name = std::move(other310.name);
-  version = other310.version;
-  whole = other310.whole;
-  rows = std::move(other310.rows);
-  __isset = other310.__isset;
+TableCopy& TableCopy::operator=(TableCopy&& other324) noexcept {
+  name = std::move(other324.name);
+  version = other324.version;
+  whole = other324.whole;
+  rows = std::move(other324.rows);
+  __isset = other324.__isset;
   return *this;
 }
 void TableCopy::printTo(std::ostream& out) const {
@@ -8787,14 +9143,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size311;
-            ::apache::thrift::protocol::TType _etype314;
-            xfer += iprot->readListBegin(_etype314, _size311);
-            this->tables.resize(_size311);
-            uint32_t _i315;
-            for (_i315 = 0; _i315 < _size311; ++_i315)
+            uint32_t _size325;
+            ::apache::thrift::protocol::TType _etype328;
+            xfer += iprot->readListBegin(_etype328, _size325);
+            this->tables.resize(_size325);
+            uint32_t _i329;
+            for (_i329 = 0; _i329 < _size325; ++_i329)
             {
-              xfer += this->tables[_i315].read(iprot);
+              xfer += this->tables[_i329].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8835,10 +9191,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
-    std::vector<TableCopy> ::const_iterator _iter316;
-    for (_iter316 = this->tables.begin(); _iter316 != this->tables.end(); ++_iter316)
+    std::vector<TableCopy> ::const_iterator _iter330;
+    for (_iter330 = this->tables.begin(); _iter330 != this->tables.end(); ++_iter330)
     {
-      xfer += (*_iter316).write(oprot);
+      xfer += (*_iter330).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8861,30 +9217,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedCopy::FeedCopy(const FeedCopy& other317) {
-  age_ms = other317.age_ms;
-  tables = other317.tables;
-  from_store = other317.from_store;
-  __isset = other317.__isset;
+FeedCopy::FeedCopy(const FeedCopy& other331) {
+  age_ms = other331.age_ms;
+  tables = other331.tables;
+  from_store = other331.from_store;
+  __isset = other331.__isset;
 }
-FeedCopy::FeedCopy(FeedCopy&& other318) noexcept {
-  age_ms = other318.age_ms;
-  tables = std::move(other318.tables);
-  from_store = other318.from_store;
-  __isset = other318.__isset;
+FeedCopy::FeedCopy(FeedCopy&& other332) noexcept {
+  age_ms = other332.age_ms;
+  tables = std::move(other332.tables);
+  from_store = other332.from_store;
+  __isset = other332.__isset;
 }
-FeedCopy& FeedCopy::operator=(const FeedCopy& other319) {
-  age_ms = other319.age_ms;
-  tables = other319.tables;
-  from_store = other319.from_store;
-  __isset = other319.__isset;
+FeedCopy& FeedCopy::operator=(const FeedCopy& other333) {
+  age_ms = other333.age_ms;
+  tables = other333.tables;
+  from_store = other333.from_store;
+  __isset = other333.__isset;
   return *this;
 }
-FeedCopy& FeedCopy::operator=(FeedCopy&& other320) noexcept {
-  age_ms = other320.age_ms;
-  tables = std::move(other320.tables);
-  from_store = other320.from_store;
-  __isset = other320.__isset;
+FeedCopy& FeedCopy::operator=(FeedCopy&& other334) noexcept {
+  age_ms = other334.age_ms;
+  tables = std::move(other334.tables);
+  from_store = other334.from_store;
+  __isset = other334.__isset;
   return *this;
 }
 void FeedCopy::printTo(std::ostream& out) const {
@@ -8897,6 +9253,129 @@
 }
 
 
+RowMark::~RowMark() noexcept {
+}
+
+
+void RowMark::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void RowMark::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const RowMark& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RowMark::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RowMark::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RowMark");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RowMark &a, RowMark &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+RowMark::RowMark(const RowMark& other335) {
+  key = other335.key;
+  version = other335.version;
+  __isset = other335.__isset;
+}
+RowMark::RowMark(RowMark&& other336) noexcept {
+  key = std::move(other336.key);
+  version = other336.version;
+  __isset = other336.__isset;
+}
+RowMark& RowMark::operator=(const RowMark& other337) {
+  key = other337.key;
+  version = other337.version;
+  __isset = other337.__isset;
+  return *this;
+}
+RowMark& RowMark::operator=(RowMark&& other338) noexcept {
+  key = std::move(other338.key);
+  version = other338.version;
+  __isset = other338.__isset;
+  return *this;
+}
+void RowMark::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RowMark(";
+  out << "key=" << to_string(key);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
 TableMark::~TableMark() noexcept {
 }
 
@@ -8908,6 +9387,10 @@
 void TableMark::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void TableMark::__set_rows(const std::vector<RowMark> & val) {
+  this->rows = val;
+}
 std::ostream& operator<<(std::ostream& out, const TableMark& obj)
 {
   obj.printTo(out);
@@ -8952,6 +9435,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size339;
+            ::apache::thrift::protocol::TType _etype342;
+            xfer += iprot->readListBegin(_etype342, _size339);
+            this->rows.resize(_size339);
+            uint32_t _i343;
+            for (_i343 = 0; _i343 < _size339; ++_i343)
+            {
+              xfer += this->rows[_i343].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8977,6 +9480,18 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<RowMark> ::const_iterator _iter344;
+    for (_iter344 = this->rows.begin(); _iter344 != this->rows.end(); ++_iter344)
+    {
+      xfer += (*_iter344).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8986,29 +9501,34 @@
   using ::std::swap;
   swap(a.name, b.name);
   swap(a.version, b.version);
+  swap(a.rows, b.rows);
   swap(a.__isset, b.__isset);
 }
 
-TableMark::TableMark(const TableMark& other321) {
-  name = other321.name;
-  version = other321.version;
-  __isset = other321.__isset;
+TableMark::TableMark(const TableMark& other345) {
+  name = other345.name;
+  version = other345.version;
+  rows = other345.rows;
+  __isset = other345.__isset;
 }
-TableMark::TableMark(TableMark&& other322) noexcept {
-  name = std::move(other322.name);
-  version = other322.version;
-  __isset = other322.__isset;
+TableMark::TableMark(TableMark&& other346) noexcept {
+  name = std::move(other346.name);
+  version = other346.version;
+  rows = std::move(other346.rows);
+  __isset = other346.__isset;
 }
-TableMark& TableMark::operator=(const TableMark& other323) {
-  name = other323.name;
-  version = other323.version;
-  __isset = other323.__isset;
+TableMark& TableMark::operator=(const TableMark& other347) {
+  name = other347.name;
+  version = other347.version;
+  rows = other347.rows;
+  __isset = other347.__isset;
   return *this;
 }
-TableMark& TableMark::operator=(TableMark&& other324) noexcept {
-  name = std::move(other324.name);
-  version = other324.version;
-  __isset = other324.__isset;
+TableMark& TableMark::operator=(TableMark&& other348) noexcept {
+  name = std::move(other348.name);
+  version = other348.version;
+  rows = std::move(other348.rows);
+  __isset = other348.__isset;
   return *this;
 }
 void TableMark::printTo(std::ostream& out) const {
@@ -9016,6 +9536,7 @@
   out << "TableMark(";
   out << "name=" << to_string(name);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "rows=" << to_string(rows);
   out << ")";
 }
 
@@ -9031,6 +9552,10 @@
 void FeedQuery::__set_tables(const std::vector<TableMark> & val) {
   this->tables = val;
 }
+
+void FeedQuery::__set_patches(const bool val) {
+  this->patches = val;
+}
 std::ostream& operator<<(std::ostream& out, const FeedQuery& obj)
 {
   obj.printTo(out);
@@ -9071,14 +9596,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size325;
-            ::apache::thrift::protocol::TType _etype328;
-            xfer += iprot->readListBegin(_etype328, _size325);
-            this->tables.resize(_size325);
-            uint32_t _i329;
-            for (_i329 = 0; _i329 < _size325; ++_i329)
+            uint32_t _size349;
+            ::apache::thrift::protocol::TType _etype352;
+            xfer += iprot->readListBegin(_etype352, _size349);
+            this->tables.resize(_size349);
+            uint32_t _i353;
+            for (_i353 = 0; _i353 < _size349; ++_i353)
             {
-              xfer += this->tables[_i329].read(iprot);
+              xfer += this->tables[_i353].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9087,6 +9612,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->patches);
+          this->__isset.patches = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9111,15 +9644,19 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
-    std::vector<TableMark> ::const_iterator _iter330;
-    for (_iter330 = this->tables.begin(); _iter330 != this->tables.end(); ++_iter330)
+    std::vector<TableMark> ::const_iterator _iter354;
+    for (_iter354 = this->tables.begin(); _iter354 != this->tables.end(); ++_iter354)
     {
-      xfer += (*_iter330).write(oprot);
+      xfer += (*_iter354).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("patches", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->patches);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9129,29 +9666,34 @@
   using ::std::swap;
   swap(a.wait_ms, b.wait_ms);
   swap(a.tables, b.tables);
+  swap(a.patches, b.patches);
   swap(a.__isset, b.__isset);
 }
 
-FeedQuery::FeedQuery(const FeedQuery& other331) {
-  wait_ms = other331.wait_ms;
-  tables = other331.tables;
-  __isset = other331.__isset;
+FeedQuery::FeedQuery(const FeedQuery& other355) {
+  wait_ms = other355.wait_ms;
+  tables = other355.tables;
+  patches = other355.patches;
+  __isset = other355.__isset;
 }
-FeedQuery::FeedQuery(FeedQuery&& other332) noexcept {
-  wait_ms = other332.wait_ms;
-  tables = std::move(other332.tables);
-  __isset = other332.__isset;
+FeedQuery::FeedQuery(FeedQuery&& other356) noexcept {
+  wait_ms = other356.wait_ms;
+  tables = std::move(other356.tables);
+  patches = other356.patches;
+  __isset = other356.__isset;
 }
-FeedQuery& FeedQuery::operator=(const FeedQuery& other333) {
-  wait_ms = other333.wait_ms;
-  tables = other333.tables;
-  __isset = other333.__isset;
+FeedQuery& FeedQuery::operator=(const FeedQuery& other357) {
+  wait_ms = other357.wait_ms;
+  tables = other357.tables;
+  patches = other357.patches;
+  __isset = other357.__isset;
   return *this;
 }
-FeedQuery& FeedQuery::operator=(FeedQuery&& other334) noexcept {
-  wait_ms = other334.wait_ms;
-  tables = std::move(other334.tables);
-  __isset = other334.__isset;
+FeedQuery& FeedQuery::operator=(FeedQuery&& other358) noexcept {
+  wait_ms = other358.wait_ms;
+  tables = std::move(other358.tables);
+  patches = other358.patches;
+  __isset = other358.__isset;
   return *this;
 }
 void FeedQuery::printTo(std::ostream& out) const {
@@ -9159,6 +9701,7 @@
   out << "FeedQuery(";
   out << "wait_ms=" << to_string(wait_ms);
   out << ", " << "tables=" << to_string(tables);
+  out << ", " << "patches=" << to_string(patches);
   out << ")";
 }
 
@@ -9252,9 +9795,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast335;
-          xfer += iprot->readI32(ecast335);
-          this->state = static_cast<ClaimState::type>(ecast335);
+          int32_t ecast359;
+          xfer += iprot->readI32(ecast359);
+          this->state = static_cast<ClaimState::type>(ecast359);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9359,50 +9902,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRecord::ClaimRecord(const ClaimRecord& other336) {
-  attempt_token = other336.attempt_token;
-  agent = other336.agent;
-  body_digest = other336.body_digest;
-  state = other336.state;
-  status = other336.status;
-  content_type = other336.content_type;
-  body = other336.body;
-  at_ms = other336.at_ms;
-  __isset = other336.__isset;
-}
-ClaimRecord::ClaimRecord(ClaimRecord&& other337) noexcept {
-  attempt_token = std::move(other337.attempt_token);
-  agent = std::move(other337.agent);
-  body_digest = std::move(other337.body_digest);
-  state = other337.state;
-  status = other337.status;
-  content_type = std::move(other337.content_type);
-  body = std::move(other337.body);
-  at_ms = other337.at_ms;
-  __isset = other337.__isset;
-}
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other338) {
-  attempt_token = other338.attempt_token;
-  agent = other338.agent;
-  body_digest = other338.body_digest;
-  state = other338.state;
-  status = other338.status;
-  content_type = other338.content_type;
-  body = other338.body;
-  at_ms = other338.at_ms;
-  __isset = other338.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other360) {
+  attempt_token = other360.attempt_token;
+  agent = other360.agent;
+  body_digest = other360.body_digest;
+  state = other360.state;
+  status = other360.status;
+  content_type = other360.content_type;
+  body = other360.body;
+  at_ms = other360.at_ms;
+  __isset = other360.__isset;
+}
+ClaimRecord::ClaimRecord(ClaimRecord&& other361) noexcept {
+  attempt_token = std::move(other361.attempt_token);
+  agent = std::move(other361.agent);
+  body_digest = std::move(other361.body_digest);
+  state = other361.state;
+  status = other361.status;
+  content_type = std::move(other361.content_type);
+  body = std::move(other361.body);
+  at_ms = other361.at_ms;
+  __isset = other361.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other362) {
+  attempt_token = other362.attempt_token;
+  agent = other362.agent;
+  body_digest = other362.body_digest;
+  state = other362.state;
+  status = other362.status;
+  content_type = other362.content_type;
+  body = other362.body;
+  at_ms = other362.at_ms;
+  __isset = other362.__isset;
   return *this;
 }
-ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other339) noexcept {
-  attempt_token = std::move(other339.attempt_token);
-  agent = std::move(other339.agent);
-  body_digest = std::move(other339.body_digest);
-  state = other339.state;
-  status = other339.status;
-  content_type = std::move(other339.content_type);
-  body = std::move(other339.body);
-  at_ms = other339.at_ms;
-  __isset = other339.__isset;
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other363) noexcept {
+  attempt_token = std::move(other363.attempt_token);
+  agent = std::move(other363.agent);
+  body_digest = std::move(other363.body_digest);
+  state = other363.state;
+  status = other363.status;
+  content_type = std::move(other363.content_type);
+  body = std::move(other363.body);
+  at_ms = other363.at_ms;
+  __isset = other363.__isset;
   return *this;
 }
 void ClaimRecord::printTo(std::ostream& out) const {
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -213,12 +213,18 @@
 
 class UseNotice;
 
+class RowPiece;
+
+class RowPatch;
+
 class RowCopy;
 
 class TableCopy;
 
 class FeedCopy;
 
+class RowMark;
+
 class TableMark;
 
 class FeedQuery;
@@ -3164,12 +3170,137 @@
 
 std::ostream& operator<<(std::ostream& out, const UseNotice& obj);
 
+typedef struct _RowPiece__isset {
+  _RowPiece__isset() : offset(false), size(false) {}
+  bool offset :1;
+  bool size :1;
+} _RowPiece__isset;
+
+class RowPiece : public virtual ::apache::thrift::TBase {
+ public:
+
+  RowPiece(const RowPiece&) noexcept;
+  RowPiece(RowPiece&&) noexcept;
+  RowPiece& operator=(const RowPiece&) noexcept;
+  RowPiece& operator=(RowPiece&&) noexcept;
+  RowPiece() noexcept
+           : offset(0),
+             size(0) {
+  }
+
+  virtual ~RowPiece() noexcept;
+  int64_t offset;
+  int64_t size;
+
+  _RowPiece__isset __isset;
+
+  void __set_offset(const int64_t val);
+
+  void __set_size(const int64_t val);
+
+  bool operator == (const RowPiece & rhs) const
+  {
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(size == rhs.size))
+      return false;
+    return true;
+  }
+  bool operator != (const RowPiece &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RowPiece & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RowPiece &a, RowPiece &b);
+
+std::ostream& operator<<(std::ostream& out, const RowPiece& obj);
+
+typedef struct _RowPatch__isset {
+  _RowPatch__isset() : base_version(false), pieces(false), literals(false), literal_bytes(false), checksum(false) {}
+  bool base_version :1;
+  bool pieces :1;
+  bool literals :1;
+  bool literal_bytes :1;
+  bool checksum :1;
+} _RowPatch__isset;
+
+class RowPatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  RowPatch(const RowPatch&);
+  RowPatch(RowPatch&&) noexcept;
+  RowPatch& operator=(const RowPatch&);
+  RowPatch& operator=(RowPatch&&) noexcept;
+  RowPatch() noexcept
+           : base_version(0),
+             literals(),
+             literal_bytes(0),
+             checksum(0) {
+  }
+
+  virtual ~RowPatch() noexcept;
+  int64_t base_version;
+  std::vector<RowPiece>  pieces;
+  std::string literals;
+  int64_t literal_bytes;
+  int64_t checksum;
+
+  _RowPatch__isset __isset;
+
+  void __set_base_version(const int64_t val);
+
+  void __set_pieces(const std::vector<RowPiece> & val);
+
+  void __set_literals(const std::string& val);
+
+  void __set_literal_bytes(const int64_t val);
+
+  void __set_checksum(const int64_t val);
+
+  bool operator == (const RowPatch & rhs) const
+  {
+    if (!(base_version == rhs.base_version))
+      return false;
+    if (!(pieces == rhs.pieces))
+      return false;
+    if (!(literals == rhs.literals))
+      return false;
+    if (!(literal_bytes == rhs.literal_bytes))
+      return false;
+    if (!(checksum == rhs.checksum))
+      return false;
+    return true;
+  }
+  bool operator != (const RowPatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RowPatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RowPatch &a, RowPatch &b);
+
+std::ostream& operator<<(std::ostream& out, const RowPatch& obj);
+
 typedef struct _RowCopy__isset {
-  _RowCopy__isset() : key(false), value(false), version(false), removed(false) {}
+  _RowCopy__isset() : key(false), value(false), version(false), removed(false), patch(false) {}
   bool key :1;
   bool value :1;
   bool version :1;
   bool removed :1;
+  bool patch :1;
 } _RowCopy__isset;
 
 class RowCopy : public virtual ::apache::thrift::TBase {
@@ -3191,6 +3322,7 @@
   std::string value;
   int64_t version;
   bool removed;
+  RowPatch patch;
 
   _RowCopy__isset __isset;
 
@@ -3202,6 +3334,8 @@
 
   void __set_removed(const bool val);
 
+  void __set_patch(const RowPatch& val);
+
   bool operator == (const RowCopy & rhs) const
   {
     if (!(key == rhs.key))
@@ -3212,6 +3346,10 @@
       return false;
     if (!(removed == rhs.removed))
       return false;
+    if (__isset.patch != rhs.__isset.patch)
+      return false;
+    else if (__isset.patch && !(patch == rhs.patch))
+      return false;
     return true;
   }
   bool operator != (const RowCopy &rhs) const {
@@ -3353,10 +3491,63 @@
 
 std::ostream& operator<<(std::ostream& out, const FeedCopy& obj);
 
+typedef struct _RowMark__isset {
+  _RowMark__isset() : key(false), version(false) {}
+  bool key :1;
+  bool version :1;
+} _RowMark__isset;
+
+class RowMark : public virtual ::apache::thrift::TBase {
+ public:
+
+  RowMark(const RowMark&);
+  RowMark(RowMark&&) noexcept;
+  RowMark& operator=(const RowMark&);
+  RowMark& operator=(RowMark&&) noexcept;
+  RowMark() noexcept
+          : key(),
+            version(0) {
+  }
+
+  virtual ~RowMark() noexcept;
+  std::string key;
+  int64_t version;
+
+  _RowMark__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const RowMark & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const RowMark &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RowMark & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RowMark &a, RowMark &b);
+
+std::ostream& operator<<(std::ostream& out, const RowMark& obj);
+
 typedef struct _TableMark__isset {
-  _TableMark__isset() : name(false), version(false) {}
+  _TableMark__isset() : name(false), version(false), rows(false) {}
   bool name :1;
   bool version :1;
+  bool rows :1;
 } _TableMark__isset;
 
 class TableMark : public virtual ::apache::thrift::TBase {
@@ -3374,6 +3565,7 @@
   virtual ~TableMark() noexcept;
   std::string name;
   int64_t version;
+  std::vector<RowMark>  rows;
 
   _TableMark__isset __isset;
 
@@ -3381,12 +3573,16 @@
 
   void __set_version(const int64_t val);
 
+  void __set_rows(const std::vector<RowMark> & val);
+
   bool operator == (const TableMark & rhs) const
   {
     if (!(name == rhs.name))
       return false;
     if (!(version == rhs.version))
       return false;
+    if (!(rows == rhs.rows))
+      return false;
     return true;
   }
   bool operator != (const TableMark &rhs) const {
@@ -3406,9 +3602,10 @@
 std::ostream& operator<<(std::ostream& out, const TableMark& obj);
 
 typedef struct _FeedQuery__isset {
-  _FeedQuery__isset() : wait_ms(false), tables(false) {}
+  _FeedQuery__isset() : wait_ms(false), tables(false), patches(false) {}
   bool wait_ms :1;
   bool tables :1;
+  bool patches :1;
 } _FeedQuery__isset;
 
 class FeedQuery : public virtual ::apache::thrift::TBase {
@@ -3419,12 +3616,14 @@
   FeedQuery& operator=(const FeedQuery&);
   FeedQuery& operator=(FeedQuery&&) noexcept;
   FeedQuery() noexcept
-            : wait_ms(0) {
+            : wait_ms(0),
+              patches(0) {
   }
 
   virtual ~FeedQuery() noexcept;
   int64_t wait_ms;
   std::vector<TableMark>  tables;
+  bool patches;
 
   _FeedQuery__isset __isset;
 
@@ -3432,12 +3631,16 @@
 
   void __set_tables(const std::vector<TableMark> & val);
 
+  void __set_patches(const bool val);
+
   bool operator == (const FeedQuery & rhs) const
   {
     if (!(wait_ms == rhs.wait_ms))
       return false;
     if (!(tables == rhs.tables))
       return false;
+    if (!(patches == rhs.patches))
+      return false;
     return true;
   }
   bool operator != (const FeedQuery &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -222,7 +222,20 @@
 // One gateway's copy of rows of the platform's store, for gateways that don't
 // read the store themselves. `age_ms`: time since the store confirmed the rows.
 // `from_store`: the sender reads the store, and its last calls were answered.
-struct RowCopy { 1: string key, 2: binary value, 3: i64 version, 4: bool removed }
+// A part of a row's value: `size` bytes at `offset` of the receiver's copy of the
+// row, or the next `size` bytes of the literals if `offset` is negative.
+struct RowPiece { 1: i64 offset, 2: i64 size }
+// Builds the value of a row from the receiver's copy of the row at `base_version`
+// (0: of literals only). `literals` is in zlib format, `literal_bytes` long when
+// inflated; `checksum` is the XXH3-64 hash of the value.
+struct RowPatch {
+  1: i64 base_version, 2: list<RowPiece> pieces, 3: binary literals,
+  4: i64 literal_bytes, 5: i64 checksum
+}
+struct RowCopy {
+  1: string key, 2: binary value, 3: i64 version, 4: bool removed,
+  5: optional RowPatch patch
+}
 struct TableCopy {
   1: string name, 2: i64 version, 3: bool whole, 4: list<RowCopy> rows
 }
@@ -230,8 +243,11 @@
   1: i64 age_ms, 2: list<TableCopy> tables, 3: bool from_store
 }
 // The table version up to which the sender has all rows; 0: it has none.
-struct TableMark { 1: string name, 2: i64 version }
-struct FeedQuery { 1: i64 wait_ms, 2: list<TableMark> tables }
+// `rows` are the large rows that it has.
+struct RowMark { 1: string key, 2: i64 version }
+struct TableMark { 1: string name, 2: i64 version, 3: list<RowMark> rows }
+// `patches`: whether large rows may come as patches.
+struct FeedQuery { 1: i64 wait_ms, 2: list<TableMark> tables, 3: bool patches }
 
 // A claim on an idempotency key, stored in the platform's table. Claims are
 // never transferred: `attempt_token` identifies the only attempt that may run.
