Pass the store's rows on in a tree of gateways

Cause: one gateway of a data centre served all others, so its work and its link grew with the fleet. Change: a gateway follows the one at (rank - 1) / 8 of its data centre, which may have its rows from the one before it; the order has no rounds, and ages are told as they are. A gateway tells its followers at once when its rows are confirmed anew, so waits do not add up along the tree.

--- a/gateway/include/gateway/feed_plan.h
+++ b/gateway/include/gateway/feed_plan.h
@@ -50,14 +50,16 @@
 
 /**
  * In each data centre, the first gateway in the order of `TakesDutyBefore`
- * reads the store and the others ask it. A gateway that gets no fresh rows from
- * a peer that reads the store asks the next one. It reads the store itself when
- * no gateway is left before it, and whenever its rows are older than `kMaxAge`:
- * peers that hang one after the other would add up their timeouts. It probes
- * the peers that it skips, and returns to one when that reads the store again.
- * A gateway without fresh rows of its own probes all peers in turn until it
- * finds one that reads the store. Rows that a peer got from another gateway are
- * used, but such a peer is not followed, since gateways that follow each other
+ * reads the store, and the others follow it in a tree of degree `kFanOut`, so
+ * that what a gateway sends does not grow with the fleet. A gateway that gets
+ * no fresh rows from its parent asks the parent's parents, and then the other
+ * gateways before it. It reads the store itself when no gateway is left before
+ * it, and whenever its rows are older than `kMaxAge`: peers that hang one after
+ * the other would add up their timeouts. It probes the peers that it skips, and
+ * returns to one when that has fresh rows again. A gateway without fresh rows
+ * of its own probes all peers in turn until it finds one that reads the store.
+ * Only gateways that come earlier in the order are followed for rows that they
+ * got from others, and the first one never is: gateways that follow each other
  * would grow old together.
  *
  *     if (plan.ReadsStore(now)) { ... plan.OnStoreResult(feed, true, now); }
@@ -78,6 +80,9 @@
   static constexpr coordination::Duration kMaxAge =
       std::chrono::milliseconds(1400);
 
+  /** The number of gateways that follow one, while none fails. */
+  static constexpr std::size_t kFanOut = 8;
+
   explicit FeedPlan(PeerGateway own);
 
   /** Replaces the list of live peers. */
@@ -116,7 +121,9 @@
   bool IsSkipped(const PeerGateway& peer) const;
   bool IsProbeDue(const PeerGateway& peer, TimePoint now) const;
   bool Precedes(const PeerGateway& peer) const;
-  std::optional<runtime::Endpoint> PrecedingReader() const;
+  std::vector<const PeerGateway*> Preceding() const;
+  const PeerGateway* Source() const;
+  bool MayRelay(const runtime::Endpoint& peer) const;
 
   PeerGateway own_;
   std::vector<PeerGateway> peers_;  // In the order of `TakesDutyBefore`.
--- a/gateway/src/feed_plan.cc
+++ b/gateway/src/feed_plan.cc
@@ -43,18 +43,44 @@
   return peer.data_centre == own_.data_centre && TakesDutyBefore(peer, own_);
 }
 
-std::optional<runtime::Endpoint> FeedPlan::PrecedingReader() const {
+// The gateways of the data centre that come before this one, in order.
+std::vector<const PeerGateway*> FeedPlan::Preceding() const {
+  std::vector<const PeerGateway*> preceding;
   for (const PeerGateway& it : peers_) {
-    if (Precedes(it) && !IsSkipped(it)) {
-      return it.address;
+    if (Precedes(it)) {
+      preceding.push_back(&it);
     }
   }
-  return std::nullopt;
+  return preceding;
+}
+
+// The gateway to follow; null if there is none.
+const PeerGateway* FeedPlan::Source() const {
+  const auto preceding = Preceding();
+  for (std::size_t rank = preceding.size(); rank > 0;) {
+    rank = (rank - 1) / kFanOut;
+    if (!IsSkipped(*preceding[rank])) {
+      return preceding[rank];
+    }
+  }
+  const auto found =
+      std::find_if(preceding.begin(), preceding.end(),
+                   [&](const auto* it) { return !IsSkipped(*it); });
+  return found == preceding.end() ? nullptr : *found;
+}
+
+// Whether rows that the peer got from another gateway are good enough to
+// follow it.
+bool FeedPlan::MayRelay(const runtime::Endpoint& peer) const {
+  const auto preceding = Preceding();
+  return std::any_of(preceding.begin(), preceding.end(), [&](const auto* it) {
+    return it != preceding.front() && it->address == peer;
+  });
 }
 
 bool FeedPlan::ReadsStore(TimePoint now) const {
   const auto age = Age(now);
-  return (age && *age > kMaxAge) || !PrecedingReader();
+  return (age && *age > kMaxAge) || Source() == nullptr;
 }
 
 // Whether the store does not provide fresh rows, so that any peer may help.
@@ -71,8 +97,8 @@
       return PeerQuery{it.address, true};
     }
   }
-  if (auto reader = PrecedingReader()) {
-    return PeerQuery{*reader, false};
+  if (const PeerGateway* source = Source()) {
+    return PeerQuery{source->address, false};
   }
   if (!NeedsPeers(now)) {
     return std::nullopt;
@@ -108,7 +134,7 @@
     }
   }
   const std::string address = runtime::ToString(peer);
-  if (rows && rows->from_store && rows->age <= kFresh) {
+  if (rows && rows->age <= kFresh && (rows->from_store || MayRelay(peer))) {
     skipped_.erase(address);
     followed_ = peer;
     return true;
--- a/gateway/src/follower.cc
+++ b/gateway/src/follower.cc
@@ -40,6 +40,9 @@
 // Delay between probes of peers, which go on while nobody reads the store.
 constexpr Millis kProbePause{20};
 constexpr Millis kExpiryPeriod{250};
+// A later confirmation of the rows than this is told to followers at once, so
+// that waits do not add up along a chain of gateways.
+constexpr Millis kConfirmationStep{100};
 // Rows of this size or more are logged when they arrive.
 constexpr std::size_t kLargeRowBytes = 64 << 10;
 
@@ -117,6 +120,7 @@
   std::string source;  // Last logged source of rows.
   // Queries of peers that wait for changes.
   std::set<asio::steady_timer*> held_queries;
+  TimePoint announced{};  // The confirmation that followers were told last.
 
   asio::awaitable<void> Pause(Millis time) {
     asio::steady_timer timer(duty.context(), time);
@@ -164,6 +168,37 @@
     }
     LogSource("store");
     OnRows(table, rows, whole);
+    AnnounceConfirmation();
+  }
+
+  void AnnounceConfirmation() {
+    const TimePoint now = clock.Now();
+    const auto age = plan.Age(now);
+    if (age && now - *age - announced >= kConfirmationStep) {
+      announced = now - *age;
+      AnswerHeldQueries();
+    }
+  }
+
+  void OnRows(Table& table, const StoredRows& rows, bool whole) {
+    // Ignores an answer that is older than the known rows.
+    if (!table.rows.Apply(rows, whole)) {
+      return;
+    }
+    for (const StoredRow& it : rows.rows) {
+      table.patches.OnRow(it);
+    }
+    const TimePoint now = clock.Now();
+    if (table.feed == Feed::kServers) {
+      state.OnServerRows(rows, whole, now);
+    } else {
+      state.OnOperatorRows(rows, now);
+    }
+    table.whole = false;
+    PublishChanges();
+    if (!rows.rows.empty()) {
+      AnswerHeldQueries();
+    }
   }
 
   void AnswerHeldQueries() {
@@ -279,7 +314,8 @@
     }
     if (copy) {
       ApplyCopy(*copy, runtime::ToString(peer), started);
-      }
+      AnnounceConfirmation();
+    }
     co_return fresh;
   }
 
--- a/gateway/tests/correctness/feed_plan_fleet_test.cc
+++ b/gateway/tests/correctness/feed_plan_fleet_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -26,6 +27,7 @@
 constexpr milliseconds kPoll{100};
 constexpr milliseconds kProbePause{20};
 constexpr milliseconds kStorePause{600};
+constexpr milliseconds kConfirmationStep{100};
 
 enum class StoreState { kAnswers, kRefuses, kSilent };
 
@@ -46,6 +48,7 @@
   std::array<StoreCall, 2> calls;
   std::optional<PeerQuery> query;
   TimePoint query_since{};
+  TimePoint peer_confirmed{};  // When the query was sent.
   TimePoint next_query{};
 };
 
@@ -90,6 +93,25 @@
     }
   }
 
+  // Gateways that read the store now.
+  int Readers() const {
+    return static_cast<int>(std::count_if(
+        gateways_.begin(), gateways_.end(),
+        [&](const auto& it) { return it->plan.ReadsStore(now_); }));
+  }
+
+  // The number of gateways that ask the most asked one.
+  std::size_t MostFollowers() const {
+    std::map<std::string, std::size_t> followers;
+    std::size_t most = 0;
+    for (const auto& it : gateways_) {
+      if (it->query) {
+        most = std::max(most, ++followers[runtime::ToString(it->query->peer)]);
+      }
+    }
+    return most;
+  }
+
   // Gateways that run and do not know the newest version.
   int Behind() const {
     return static_cast<int>(
@@ -132,6 +154,12 @@
         [&](const auto& it) { return it->own.address == address; });
   }
 
+  // When the store confirmed the rows of a gateway.
+  TimePoint Confirmed(const Gateway& it) const {
+    const auto age = it.plan.Age(now_);
+    return age ? now_ - *age : TimePoint{};
+  }
+
   void StepPeers(Gateway& it) {
     if (!it.query) {
       if (now_ < it.next_query) {
@@ -140,13 +168,17 @@
       it.query = it.plan.PeerToAsk(now_);
       it.query_since = now_;
       it.next_query = now_ + kPoll;
+      if (it.query) {
+        it.peer_confirmed = Confirmed(At(it.query->peer));
+      }
       return;
     }
     const Gateway& peer = At(it.query->peer);
     const Duration hold = it.query->probe ? milliseconds(0) : kPeerWait;
     const auto waited = now_ - it.query_since;
-    if (peer.frozen ? waited < hold + kPeerMargin
-                    : waited < hold && peer.version <= it.version) {
+    const bool news = peer.version > it.version ||
+                      Confirmed(peer) - it.peer_confirmed >= kConfirmationStep;
+    if (peer.frozen ? waited < hold + kPeerMargin : waited < hold && !news) {
       return;
     }
     std::optional<PeerRows> rows;
@@ -192,6 +224,41 @@
   }
 }
 
+TEST(FeedPlanFleet, NoGatewayServesMoreOthersInALargerFleet) {
+  for (const int gateways : {30, 100, 300, 430}) {
+    SCOPED_TRACE(std::to_string(gateways) + " gateways");
+    Fleet fleet(gateways, 3);
+    {
+      SCOPED_TRACE("one gateway per data centre reads the store");
+      fleet.Run(milliseconds(4000));
+      EXPECT_EQ(fleet.Readers(), 3);
+      EXPECT_LE(fleet.MostFollowers(), FeedPlan::kFanOut);
+    }
+    {
+      SCOPED_TRACE("a change reaches all in a fraction of the deadline");
+      fleet.Publish();
+      fleet.Run(milliseconds(200));
+      EXPECT_EQ(fleet.Behind(), 0);
+    }
+    {
+      SCOPED_TRACE("a change is not late while a reader and relays hang");
+      std::vector<Gateway*> order;
+      for (const auto& it : fleet.gateways()) {
+        order.push_back(it.get());
+      }
+      std::sort(order.begin(), order.end(), [](const auto* a, const auto* b) {
+        return TakesDutyBefore(a->own, b->own);
+      });
+      for (const std::size_t i : {0, 4, 5, 11}) {
+        order[i]->frozen = true;
+      }
+      fleet.Publish();
+      fleet.Run(kDeadline);
+      EXPECT_EQ(fleet.Behind(), 0);
+    }
+  }
+}
+
 TEST(FeedPlanFleet, AChangeIsNotLateWhenTheStoreTurnsReadersAway) {
   std::mt19937 random(7);
   for (const int gateways : {10, 27, 68}) {
--- a/gateway/tests/correctness/feed_plan_test.cc
+++ b/gateway/tests/correctness/feed_plan_test.cc
@@ -84,6 +84,16 @@
   EXPECT_TRUE(second.ReadsStore(now));
 }
 
+// Such a gateway gets its rows from one before it, so no round can form.
+TEST(FeedPlan, FollowsAnEarlierGatewayThatPassesRowsOn) {
+  const TimePoint now{milliseconds(1000)};
+  FeedPlan third = MakePlan(3);
+  EXPECT_TRUE(third.OnPeerAnswer(At(2), Indirect(100), now));
+  EXPECT_FALSE(third.OnPeerAnswer(At(2), Indirect(1300), now));
+  FeedPlan second = MakePlan(2);
+  EXPECT_FALSE(second.OnPeerAnswer(At(3), Indirect(100), now));
+}
+
 TEST(FeedPlan, ProbesAllPeersInTurnWhenTheStoreIsUnreachable) {
   TimePoint now{milliseconds(1000)};
   FeedPlan first = MakePlan(1);
