--- a/coordination/include/coordination/quota.h
+++ b/coordination/include/coordination/quota.h
@@ -104,11 +104,20 @@
   /** Charges `units` if the organisation has quota left; organisations without
    * a limit always have. */
   QuotaDecision Charge(QuotaKey organisation, double units, TimePoint now);
+  /** Whether `Charge` would admit the request. */
+  bool WouldAdmit(QuotaKey organisation, double units, TimePoint now) const;
+  /** Charges units that were used whether there was quota left or not. */
+  void Add(QuotaKey organisation, double units, TimePoint now);
+  /** How long it takes until the bucket has room for one request more, if no
+   * instance charges it meanwhile. */
+  Duration TimeToRoom(QuotaKey organisation, TimePoint now) const;
   /** Returns units that were charged for a request that did not run. */
   void Refund(QuotaKey organisation, double units, TimePoint now);
 
   /** The organisations charged since the last call. */
   std::vector<QuotaReport> TakeChanges(TimePoint now);
+  /** The report of one organisation, also if it was not charged. */
+  QuotaReport Report(QuotaKey organisation, TimePoint now) const;
   /** The organisations charged within the last seconds, so that reports that
    * were lost are made up for. */
   std::vector<QuotaReport> Recent(TimePoint now) const;
@@ -124,6 +133,9 @@
    * from 1 / instances to 1. */
   double HeardShare(TimePoint now) const;
 
+  /** The number of live instances, this one included. */
+  std::size_t instances() const;
+
   /** Whether reports should be sent often: this instance or one of its peers
    * has started, and they do not hear each other yet. */
   bool IsGathering(TimePoint now) const;
--- a/coordination/src/quota.cc
+++ b/coordination/src/quota.cc
@@ -202,6 +202,21 @@
     return std::max(0.0, burst - std::max(units, others));
   }
 
+  // By how much the bucket is too full for a request; negative if it has room.
+  double Excess(const Bucket& bucket, double units, TimePoint now) const {
+    const double level = bucket.level + Unreported(bucket, now);
+    const double excess = level - Threshold(bucket, units, now);
+    return level <= 0 ? std::min(excess, -1.0) : excess;
+  }
+
+  void AddCharge(Bucket& bucket, double units, TimePoint now) {
+    VaryThreshold(bucket);
+    bucket.level += units;
+    bucket.charged += static_cast<std::int64_t>(std::llround(units));
+    bucket.charged_at = now;
+    bucket.changed = true;
+  }
+
   void DrainAll(TimePoint now) {
     for (auto& [key, bucket] : buckets) {
       Drain(bucket, now);
@@ -321,6 +336,9 @@
       bucket.created_at = now;
     }
     it.Drain(bucket, now);
+    if (bucket.limit == limit) {
+      continue;
+    }
     bucket.limit = limit;
     // What was used under a higher limit does not count against a lower one.
     bucket.level = std::min(bucket.level, Impl::BurstOf(bucket));
@@ -352,6 +370,43 @@
   return !impl_->buckets.empty();
 }
 
+bool QuotaLedger::WouldAdmit(QuotaKey organisation,
+                             double units,
+                             TimePoint now) const {
+  const auto found = impl_->buckets.find(organisation);
+  if (found == impl_->buckets.end()) {
+    return true;
+  }
+  impl_->Drain(found->second, now);
+  return impl_->Excess(found->second, units, now) < 0;
+}
+
+void QuotaLedger::Add(QuotaKey organisation, double units, TimePoint now) {
+  const auto found = impl_->buckets.find(organisation);
+  if (found != impl_->buckets.end()) {
+    impl_->Drain(found->second, now);
+    impl_->AddCharge(found->second, units, now);
+  }
+}
+
+Duration QuotaLedger::TimeToRoom(QuotaKey organisation, TimePoint now) const {
+  const auto found = impl_->buckets.find(organisation);
+  if (found == impl_->buckets.end()) {
+    return {};
+  }
+  impl_->Drain(found->second, now);
+  const double rate =
+      std::max(1e-9, found->second.limit.rate_per_s * impl_->HeardShare(now));
+  constexpr double kMaxS = 3600;
+  const double excess = std::max(0.0, impl_->Excess(found->second, 0, now));
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(kMaxS, excess / rate)));
+}
+
+std::size_t QuotaLedger::instances() const {
+  return impl_->instances;
+}
+
 QuotaDecision QuotaLedger::Charge(QuotaKey organisation,
                                   double units,
                                   TimePoint now) {
@@ -363,14 +418,9 @@
   impl_->Drain(bucket, now);
   impl_->UseTolerance(bucket, now);
   Impl::RecordOffer(bucket, units, now);
-  const double level = bucket.level + impl_->Unreported(bucket, now);
-  const double excess = level - impl_->Threshold(bucket, units, now);
-  if (excess < 0 || level <= 0) {
-    impl_->VaryThreshold(bucket);
-    bucket.level += units;
-    bucket.charged += static_cast<std::int64_t>(std::llround(units));
-    bucket.charged_at = now;
-    bucket.changed = true;
+  const double excess = impl_->Excess(bucket, units, now);
+  if (excess < 0) {
+    impl_->AddCharge(bucket, units, now);
     return {};
   }
   if (!impl_->IsSettled(bucket, now)) {
@@ -411,6 +461,13 @@
   return reports;
 }
 
+QuotaReport QuotaLedger::Report(QuotaKey organisation, TimePoint now) const {
+  const auto found = impl_->buckets.find(organisation);
+  return found == impl_->buckets.end()
+             ? QuotaReport{organisation, 0, 0}
+             : impl_->MakeReport(organisation, found->second, now);
+}
+
 std::vector<QuotaReport> QuotaLedger::Recent(TimePoint now) const {
   std::vector<QuotaReport> reports;
   for (auto& [key, bucket] : impl_->buckets) {
--- a/gateway/include/gateway/load_balancer.h
+++ b/gateway/include/gateway/load_balancer.h
@@ -14,6 +14,7 @@
 #include "coordination/clock.h"
 #include "gateway/fleet_view.h"
 #include "gateway/protocol.h"
+#include "routing/server_limits.h"
 #include "routing/server_model.h"
 #include "routing/server_standing.h"
 
@@ -95,6 +96,13 @@
   std::vector<CacheEvent> events;
 };
 
+/** Room at servers that can't be used now because of the limits they name. */
+struct LimitedRoom {
+  TimePoint at{};            // The earliest at any of them.
+  double per_s = 0;          // Requests a second, of all of them.
+  std::size_t gateways = 1;  // That share it.
+};
+
 /** State of one server, for operators. */
 struct ServerStatus {
   std::string id;
@@ -143,6 +151,13 @@
   std::optional<TimePoint> AllPausedUntil(std::string_view service,
                                           TimePoint now) const;
 
+  /** Room at the service's servers whose limits are used up now, without those
+   * in `avoided`; nothing if there are none. */
+  std::optional<LimitedRoom> FindLimitedRoom(
+      std::string_view service,
+      std::span<const std::string> avoided,
+      TimePoint now) const;
+
   /** Estimated time until a server of the service has a free slot. */
   Millis EstimateRetryAfter(std::string_view service) const;
 
@@ -182,6 +197,9 @@
    * since the last call and, if `whole`, some of the others in turn. */
   std::vector<routing::Incarnation> TakeLeaving(bool whole);
 
+  /** The limits that servers name. */
+  routing::ServerLimits& limits();
+
   void OnCacheStore(const CacheStoreUpdate& news);
 
   /** The server rejected a request because its weights have another version. */
--- a/gateway/include/gateway/protocol.h
+++ b/gateway/include/gateway/protocol.h
@@ -78,6 +78,9 @@
   bool not_executed = false;  // The request has not run and never will.
   bool leaving = false;       // The server wants no new requests.
   std::optional<double> retry_after_s;  // As it was sent, not checked.
+  // The rate of requests that the server takes from all gateways together.
+  bool names_limit = false;
+  std::optional<double> limit_per_s;  // Not checked; none if unreadable.
   std::optional<ServerLoad> load;
   std::optional<std::int64_t> weights_version;
 };
--- a/gateway/include/gateway/rollout_leader.h
+++ b/gateway/include/gateway/rollout_leader.h
@@ -39,6 +39,8 @@
   void OnView(const FleetView& view);
   /** Sets what is called with what servers say in answers to this object. */
   void SetOnNotice(std::function<void(const routing::ServerNotice&)> handler);
+  /** Sets what is called before each request to a server. */
+  void SetOnRequest(std::function<void(const routing::Incarnation&)> handler);
   /** A server said something in an answer to someone else. */
   void OnNotice(const routing::ServerNotice& notice);
   /** Sets the live peer gateways, which order who requests the lease first. */
--- a/gateway/include/gateway/traffic.h
+++ b/gateway/include/gateway/traffic.h
@@ -35,6 +35,8 @@
   void SetOnNotice(std::function<void(const routing::ServerNotice&)> handler);
   /** A server said something in an answer that another thread received. */
   void OnNotice(const routing::ServerNotice& notice);
+  /** Another thread sends a request to the server. */
+  void OnServerRequest(const routing::Incarnation& server);
   void OnView(FleetView view);
   void OnCacheStore(const CacheStoreUpdate& update);
 
--- a/gateway/src/admission_gate.h
+++ b/gateway/src/admission_gate.h
@@ -71,6 +71,11 @@
   /** Ends all waiting, as the process stops. */
   void Stop();
 
+  /** The number of requests that wait for servers of the service. */
+  std::size_t waiting(std::string_view service) const {
+    return queue_.size(service);
+  }
+
   /** Whether a request that seems to have no chance should be sent to check
    * the prediction: once a second while the service gives no first byte. */
   bool TryProbe(std::string_view service, TimePoint now);
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -206,6 +206,10 @@
     const TimePoint now = Now();
     auto placement = deadline_ - now < kMinTimeLeft ? std::nullopt : Place(now);
     if (!placement) {
+      const bool waited = co_await WaitForLimit();
+      if (waited) {
+        continue;
+      }
       co_await GiveUp();
       co_return;
     }
@@ -228,7 +232,16 @@
       }
       continue;
     }
+    const routing::Incarnation server{placement->server_id, placement->born_ms};
+    routing::ServerLimits& limits = parts_.balancer.limits();
+    if (!limits.TryCharge(server, now)) {
+      continue;
+    }
+    const int arrivals = arrivals_;
     const Step last = co_await TryServer(*placement);
+    if (arrivals_ == arrivals) {
+      limits.Refund(server, Now());
+    }
     if (last == Step::kDone) {
       co_return;
     }
@@ -295,6 +308,69 @@
   waited_ms_ = ToMs(Now() - since);
 }
 
+// Waits for a turn at one of the servers that name a limit, if no other server
+// can be used and the caller is likely to get one. Returns whether to go on.
+asio::awaitable<bool> Exchange::WaitForLimit() {
+  const TimePoint now = Now();
+  const auto room = parts_.balancer.FindLimitedRoom(service_, tried_, now);
+  const TimePoint latest =
+      CallerLeaves() - parts_.admission.Predict(service_, predicted_ms_);
+  if (!room || latest <= now || parts_.stop_by) {
+    co_return false;
+  }
+  const double turns = room->per_s * ToMs(latest - now) / 1000 /
+                       static_cast<double>(room->gateways);
+  constexpr double kMinWaiting = 2;
+  if (latest <= room->at || static_cast<double>(parts_.gate.waiting(
+                                service_)) >= std::max(kMinWaiting, turns)) {
+    co_return false;
+  }
+  routing::QueuedRequest queued;
+  queued.service = service_;
+  queued.priority = Priority();
+  queued.organisation = organisation_ == nullptr ? "" : organisation_->name;
+  queued.bytes = body_->bytes.size();
+  queued.need_tokens = request_.prompt_tokens + request_.output_tokens;
+  queued.latest_start = latest;
+  AdmissionGate::Fits fits = [this](TimePoint at) {
+    return parts_.balancer.Place(MakePlacementRequest(), at).has_value();
+  };
+  wait_end_ =
+      co_await parts_.gate.Wait(this, std::move(queued), std::move(fits));
+  waited_ms_ += ToMs(Now() - now);
+  co_return wait_end_ != WaitEnd::kFull&& wait_end_ != WaitEnd::kStopping;
+}
+
+// When the caller should come back if all usable servers name limits: after
+// those that wait here have had their turns.
+std::optional<Millis> Exchange::RetryAfterIfLimited() const {
+  const TimePoint now = Now();
+  const auto room = parts_.balancer.FindLimitedRoom(service_, {}, now);
+  if (!room) {
+    return std::nullopt;
+  }
+  constexpr double kMinMs = 100;
+  constexpr double kMaxMs = 5000;
+  const auto waiting = static_cast<double>(parts_.gate.waiting(service_) + 1);
+  const double turns_ms =
+      1000 * waiting * static_cast<double>(room->gateways) / room->per_s;
+  return Millis(static_cast<std::int64_t>(std::clamp(
+      SpreadMs(std::max(turns_ms, ToMs(room->at - now))), kMinMs, kMaxMs)));
+}
+
+// Callers that are told the same time return within a quarter of it after it,
+// so that they do not all return together.
+double Exchange::SpreadMs(double after_ms) const {
+  constexpr double kSpread = 0.25;
+  constexpr double kMinSpreadMs = 100;
+  constexpr std::size_t kSteps = 1024;
+  const double position =
+      static_cast<double>(std::hash<std::string_view>()(request_.request_id) %
+                          kSteps) /
+      kSteps;
+  return after_ms + position * std::max(kSpread * after_ms, kMinSpreadMs);
+}
+
 // When the caller should come back if the request would only start after the
 // caller has left; nothing if it should be sent. A request that may have run is
 // not refused.
@@ -313,25 +389,15 @@
 }
 
 // When the caller should come back if all servers of the service want a pause:
-// after the first of these ends. Callers return within a quarter of the time
-// after it, so that they do not all return together.
+// after the first of these ends.
 std::optional<Millis> Exchange::RetryAfterIfAllPause() const {
   const TimePoint now = Now();
   const auto until = parts_.balancer.AllPausedUntil(service_, now);
   if (!until) {
     return std::nullopt;
   }
-  constexpr double kSpread = 0.25;
-  constexpr double kMinSpreadMs = 100;
-  constexpr std::size_t kSteps = 1024;
-  const double left_ms = ToMs(*until - now);
-  const double position =
-      static_cast<double>(std::hash<std::string_view>()(request_.request_id) %
-                          kSteps) /
-      kSteps;
-  const std::chrono::duration<double, std::milli> after(
-      left_ms + position * std::max(kSpread * left_ms, kMinSpreadMs));
-  return std::chrono::ceil<Millis>(after);
+  return std::chrono::ceil<Millis>(
+      std::chrono::duration<double, std::milli>(SpreadMs(ToMs(*until - now))));
 }
 
 // Whether the process may stop before the request ends. One that came late gets
@@ -478,7 +544,7 @@
 void Exchange::OnServerHead(const Placement& placement,
                             const ResponseHead& head) {
   ApplyNotice(parts_, ReadNotice({placement.server_id, placement.born_ms}, head,
-                                 parts_.servers));
+                                 parts_.servers, sent_at_));
 }
 
 asio::awaitable<std::shared_ptr<ServerConnection>> Exchange::Connect(
@@ -862,6 +928,11 @@
     co_await Refuse(refusal);
     co_return;
   }
+  if (const auto after = RetryAfterIfLimited()) {
+    const Refusal refusal{503, "servers_limited", *after};
+    co_await Refuse(refusal);
+    co_return;
+  }
   const bool served = parts_.balancer.HasServer(service_, Now());
   const Refusal refusal{503, served ? "no_place" : "no_server",
                         parts_.balancer.EstimateRetryAfter(service_)};
--- a/gateway/src/exchange.h
+++ b/gateway/src/exchange.h
@@ -78,6 +78,9 @@
                                      std::string_view bytes);
   bool MayRunAgain() const;
   std::optional<Millis> RetryAfterIfAllPause() const;
+  std::optional<Millis> RetryAfterIfLimited() const;
+  double SpreadMs(double after_ms) const;
+  asio::awaitable<bool> WaitForLimit();
   bool EndsTooLate(const Placement& placement) const;
   TimePoint CallerLeaves() const;
   int Priority() const;
--- a/gateway/src/load_balancer.cc
+++ b/gateway/src/load_balancer.cc
@@ -125,10 +125,13 @@
 }  // namespace
 
 struct LoadBalancer::Impl {
+  explicit Impl(std::uint64_t seed) : limits(seed) {}
+
   std::map<std::string, Server, std::less<>> servers;
   std::map<std::string, std::vector<Server*>, std::less<>> by_service;
   std::map<std::string, routing::ServiceModel, std::less<>> models;
   routing::ServerStanding standing;
+  routing::ServerLimits limits;
   mutable std::mt19937_64 random;
   // What the peers send, over all services.
   struct PeerLoad {
@@ -179,6 +182,11 @@
     return now < it.standing.paused_until;
   }
 
+  bool HasLimitRoom(const Server& it, TimePoint now) const {
+    return !limits.active() ||
+           limits.HasRoom({it.info.id, it.info.born_ms}, now);
+  }
+
   // How far a server is from the first choice: ejected ones come after all
   // others, and then those of which another gateway says that they are leaving.
   static int Preference(const Server& it, TimePoint now) {
@@ -480,7 +488,7 @@
 };
 
 LoadBalancer::LoadBalancer(Millis old_weights_limit, std::uint64_t seed)
-    : impl_(std::make_unique<Impl>()) {
+    : impl_(std::make_unique<Impl>(seed)) {
   impl_->random.seed(seed);
   impl_->old_weights_limit = old_weights_limit;
 }
@@ -520,6 +528,11 @@
         return listed_servers.contains(std::string(id));
       },
       now);
+  it.limits.OnListed([&](const routing::Incarnation& server) {
+    const auto found = listed_servers.find(server.id);
+    return found != listed_servers.end() &&
+           found->second.born_ms <= server.born_ms;
+  });
   it.by_service.clear();
   for (const auto& [id, info] : listed_servers) {
     Server& server = it.servers[id];
@@ -555,7 +568,8 @@
   for (int preference = 0; preference <= kLastChoice; ++preference) {
     for (const Server* it : impl.ServersOf(request.service)) {
       if (!Impl::Usable(*it) || Impl::Paused(*it, now) ||
-          Impl::Preference(*it, now) != preference) {
+          Impl::Preference(*it, now) != preference ||
+          !impl.HasLimitRoom(*it, now)) {
         continue;
       }
       if (std::find(request.avoided.begin(), request.avoided.end(),
@@ -611,6 +625,27 @@
   return first;
 }
 
+std::optional<LimitedRoom> LoadBalancer::FindLimitedRoom(
+    std::string_view service,
+    std::span<const std::string> avoided,
+    TimePoint now) const {
+  LimitedRoom room;
+  room.gateways = impl_->limits.gateways();
+  for (const Server* it : impl_->ServersOf(service)) {
+    const routing::Incarnation server{it->info.id, it->info.born_ms};
+    const auto per_s = impl_->limits.Get(server);
+    const bool skipped =
+        std::find(avoided.begin(), avoided.end(), server.id) != avoided.end();
+    if (!per_s || skipped || !Impl::Usable(*it) || Impl::Paused(*it, now)) {
+      continue;
+    }
+    const TimePoint at = now + impl_->limits.TimeToRoom(server, now);
+    room.at = room.per_s == 0 ? at : std::min(room.at, at);
+    room.per_s += *per_s;
+  }
+  return room.per_s > 0 ? std::optional(room) : std::nullopt;
+}
+
 Millis LoadBalancer::EstimateRetryAfter(std::string_view service) const {
   double queued = 0;
   double slots = 0;
@@ -766,6 +801,10 @@
   return leaving;
 }
 
+routing::ServerLimits& LoadBalancer::limits() {
+  return impl_->limits;
+}
+
 void LoadBalancer::OnCacheStore(const CacheStoreUpdate& update) {
   Impl& it = *impl_;
   const std::string address = runtime::ToString(update.store);
--- a/gateway/src/process.cc
+++ b/gateway/src/process.cc
@@ -130,6 +130,10 @@
       asio::post(control_duty_.context(),
                  [this, it] { rollout_leader_.OnNotice(it); });
     });
+    rollout_leader_.SetOnRequest([this](const routing::Incarnation& it) {
+      asio::post(traffic_duty_.context(),
+                 [this, it] { traffic_.OnServerRequest(it); });
+    });
     rollout_leader_.SetOnNotice([this](const routing::ServerNotice& it) {
       asio::post(traffic_duty_.context(),
                  [this, it] { traffic_.OnNotice(it); });
--- a/gateway/src/rollout_leader.cc
+++ b/gateway/src/rollout_leader.cc
@@ -151,6 +151,7 @@
   bool ended = false;
   std::map<std::string, std::shared_ptr<runtime::HttpClient>> clients;
   std::function<void(const routing::ServerNotice&)> on_notice;
+  std::function<void(const routing::Incarnation&)> on_request;
 
   asio::awaitable<void> Run() {
     asio::steady_timer timer(duty.context());
@@ -335,6 +336,7 @@
     // Keeps the client alive if the server is removed meanwhile.
     const auto client = GetClient(task);
     auto ask = servers.AskReport(task.server_id);
+    OnRequest(task);
     auto answer = co_await client->Fetch(std::move(ask), kServerTimeout);
     std::optional<ServerReport> report;
     if (answer) {
@@ -354,10 +356,19 @@
     }
   }
 
+  void OnRequest(const RolloutTask& task) const {
+    if (on_request) {
+      on_request({task.server_id, task.born_ms});
+    }
+  }
+
   void OnHead(const RolloutTask& task, const ResponseHead& head) {
+    // Only answers to callers' requests show that a limit has ended.
+    const TimePoint sent_at{};
     const auto notice =
-        ReadNotice({task.server_id, task.born_ms}, head, servers);
-    if (rollout.OnNotice(notice, clock.Now()) && on_notice) {
+        ReadNotice({task.server_id, task.born_ms}, head, servers, sent_at);
+    const bool changed = rollout.OnNotice(notice, clock.Now());
+    if ((changed || notice.limit_per_s) && on_notice) {
       on_notice(notice);
     }
   }
@@ -373,6 +384,7 @@
     order.holder = settings.instance;
     order.token = *token;
     auto request = servers.MakeOrder(task.server_id, order);
+    OnRequest(task);
     auto sent = co_await client.Fetch(std::move(request), kServerTimeout);
     std::optional<OrderAnswer> answer;
     if (sent) {
@@ -441,6 +453,11 @@
   impl_->on_notice = std::move(handler);
 }
 
+void RolloutLeader::SetOnRequest(
+    std::function<void(const routing::Incarnation&)> handler) {
+  impl_->on_request = std::move(handler);
+}
+
 void RolloutLeader::OnNotice(const routing::ServerNotice& notice) {
   (void)impl_->rollout.OnNotice(notice, impl_->clock.Now());
 }
--- a/gateway/src/server_notices.cc
+++ b/gateway/src/server_notices.cc
@@ -12,9 +12,21 @@
 
 routing::ServerNotice ReadNotice(routing::Incarnation server,
                                  const ResponseHead& head,
-                                 const ServerProtocol& protocol) {
+                                 const ServerProtocol& protocol,
+                                 TimePoint sent_at) {
+  constexpr unsigned kMisdirected = 421;
   const ServerHead server_head = protocol.Read(head);
-  routing::ServerNotice notice{std::move(server), server_head.leaving, {}};
+  routing::ServerNotice notice;
+  notice.server = std::move(server);
+  notice.leaving = server_head.leaving;
+  // Another incarnation may have sent this status.
+  if (head.result_int() != kMisdirected) {
+    notice.limit_per_s = server_head.limit_per_s;
+    const bool of_server = server_head.sealed || server_head.not_executed;
+    if (of_server && !server_head.names_limit) {
+      notice.unlimited_since = sent_at;
+    }
+  }
   if (head.result() == http::status::service_unavailable &&
       server_head.retry_after_s) {
     notice.pause = routing::ReadPause(*server_head.retry_after_s);
@@ -22,7 +34,31 @@
   return notice;
 }
 
+namespace {
+
+void ApplyLimit(TrafficParts& parts, const routing::ServerNotice& notice) {
+  routing::LimitStatement statement;
+  statement.per_s = notice.limit_per_s;
+  statement.conclusive = notice.unlimited_since.has_value();
+  statement.asked_at = notice.unlimited_since.value_or(TimePoint{});
+  routing::ServerLimits& limits = parts.balancer.limits();
+  if (!limits.OnAnswer(notice.server, statement, parts.clock.Now())) {
+    return;
+  }
+  parts.metrics.GetCounter("peridotgate_gateway_server_limit_changes_total")
+      .Add();
+  LogEvent("server_limit", LogClass::kNotable)
+      .Add("server", notice.server.id)
+      .Add("born", notice.server.born_ms)
+      .Add("per_s", limits.Get(notice.server).value_or(0))
+      .Add("source", "answer");
+  parts.on_usage_changed();
+}
+
+}  // namespace
+
 void ApplyNotice(TrafficParts& parts, const routing::ServerNotice& notice) {
+  ApplyLimit(parts, notice);
   if (!parts.balancer.OnNotice(notice, parts.clock.Now())) {
     return;
   }
--- a/gateway/src/server_notices.h
+++ b/gateway/src/server_notices.h
@@ -7,10 +7,12 @@
 
 namespace peridotgate::gateway {
 
-/** What an answer with this head says of the server that sent it. */
+/** What an answer with this head, to a request that was sent at `sent_at`, says
+ * of the server that sent it. */
 routing::ServerNotice ReadNotice(routing::Incarnation server,
                                  const ResponseHead& head,
-                                 const ServerProtocol& protocol);
+                                 const ServerProtocol& protocol,
+                                 TimePoint sent_at);
 
 /** Used on the traffic thread. */
 void ApplyNotice(TrafficParts& parts, const routing::ServerNotice& notice);
--- a/gateway/src/traffic.cc
+++ b/gateway/src/traffic.cc
@@ -206,6 +206,11 @@
     parts.retries =
         coordination::RetryBudget(RetryLimits(parts.settings, gateways));
     parts.quotas.SetPeers(*view.peers, parts.clock.Now());
+    std::vector<std::string> names;
+    for (const runtime::Endpoint& it : *view.peers) {
+      names.push_back(runtime::ToString(it));
+    }
+    parts.balancer.limits().SetPeers(names, parts.clock.Now());
     impl_->uses.SetPeers(*view.peers);
   }
   if (view.rules != parts.view.rules) {
@@ -220,6 +225,12 @@
   impl_->parts.on_notice = std::move(handler);
 }
 
+void Traffic::OnServerRequest(const routing::Incarnation& server) {
+  TrafficParts& parts = impl_->parts;
+  parts.balancer.limits().Charge(server, parts.clock.Now());
+  parts.on_usage_changed();
+}
+
 void Traffic::OnNotice(const routing::ServerNotice& notice) {
   ApplyNotice(impl_->parts, notice);
 }
--- a/gateway/src/usage_exchange.cc
+++ b/gateway/src/usage_exchange.cc
@@ -163,6 +163,7 @@
       notice.prompts.push_back(std::move(prompt));
     }
     AddQuotas(notice, now);
+    notice.limits = LimitsToWire(notice.whole, now);
     for (const routing::Incarnation& it : balancer.TakeLeaving(notice.whole)) {
       wire::LeavingServer leaving;
       leaving.id = it.id;
@@ -185,7 +186,8 @@
     }
     // Peers tell by the reports whether an instance with quotas lives.
     if (!was_idle || !reported.empty() || !facts.to_all.empty() ||
-        !facts.to_few.empty() || quotas.active() || tells_leaving) {
+        !facts.to_few.empty() || quotas.active() ||
+        balancer.limits().active() || tells_leaving) {
       Schedule(period);
     }
   }
@@ -202,6 +204,58 @@
     }
   }
 
+  std::vector<wire::ServerLimit> LimitsToWire(bool whole, TimePoint now) {
+    std::vector<wire::ServerLimit> limits;
+    for (const auto& it : balancer.limits().TakeReports(whole, now)) {
+      wire::ServerLimit limit;
+      limit.id = it.server.id;
+      limit.born_ms = it.server.born_ms;
+      limit.per_s = it.per_s;
+      limit.age_us =
+          std::chrono::duration_cast<std::chrono::microseconds>(it.age).count();
+      limit.charged = it.charged;
+      limit.level = it.level;
+      limits.push_back(std::move(limit));
+    }
+    return limits;
+  }
+
+  void ApplyLimits(const wire::UseNotice& notice) {
+    const TimePoint now = clock.Now();
+    routing::ServerLimits& limits = balancer.limits();
+    std::vector<routing::LimitReport> reports;
+    for (const wire::ServerLimit& it : notice.limits) {
+      reports.push_back({{it.id, it.born_ms},
+                         it.per_s,
+                         std::chrono::microseconds(it.age_us),
+                         it.charged,
+                         it.level});
+    }
+    std::vector<std::optional<double>> before;
+    before.reserve(reports.size());
+    for (const routing::LimitReport& it : reports) {
+      before.push_back(limits.Get(it.server));
+    }
+    limits.OnReports({SenderName(), notice.incarnation,
+                      std::chrono::milliseconds(notice.uptime_ms)},
+                     reports, now);
+    for (std::size_t i = 0; i < reports.size(); ++i) {
+      const auto after = limits.Get(reports[i].server);
+      if (after != before[i]) {
+        LogEvent("server_limit", LogClass::kNotable)
+            .Add("server", reports[i].server.id)
+            .Add("born", reports[i].server.born_ms)
+            .Add("per_s", after.value_or(0))
+            .Add("source", sender.address().to_string());
+      }
+    }
+  }
+
+  std::string SenderName() const {
+    return runtime::ToString(
+        runtime::Endpoint{sender.address().to_string(), sender.port()});
+  }
+
   void ApplyLeaving(const wire::UseNotice& notice) {
     std::vector<routing::Incarnation> leaving;
     for (const wire::LeavingServer& it : notice.leaving) {
@@ -221,8 +275,7 @@
       reports.push_back({static_cast<coordination::QuotaKey>(it.organisation),
                          it.charged, it.level});
     }
-    const runtime::Endpoint peer{sender.address().to_string(), sender.port()};
-    const std::string name = runtime::ToString(peer);
+    const std::string name = SenderName();
     quotas.OnReports(
         {name, notice.incarnation, std::chrono::milliseconds(notice.uptime_ms)},
         reports, clock.Now());
@@ -275,6 +328,10 @@
     if (it.incarnation != previous.incarnation) {
       // The gateway has just started.
       SendFacts(crashes.Current(), sender);
+      if (balancer.limits().active()) {
+        full_report_at = {};
+        OnChange();
+      }
     }
     previous = {it.incarnation, it.sequence};
     crashes.Merge(wire::FromWire(it.crash_facts, clock.Now()));
@@ -286,6 +343,7 @@
     ApplyLeaving(it);
     balancer.OnPeerUsage(peer, uses, it.whole, clock.Now());
     ApplyQuotas(it);
+    ApplyLimits(it);
     std::vector<SentPrompt> prompts;
     for (const wire::SentPrompt& prompt : it.prompts) {
       prompts.push_back({prompt.server,
--- a/routing/include/routing/admission_queue.h
+++ b/routing/include/routing/admission_queue.h
@@ -98,6 +98,7 @@
   }
   std::size_t size() const { return requests_.size(); }
   std::size_t bytes() const { return bytes_; }
+  std::size_t size(std::string_view service) const;
   bool empty(std::string_view service) const;
   /** Services with waiting requests. */
   std::vector<std::string> Services() const;
--- a/routing/include/routing/server_standing.h
+++ b/routing/include/routing/server_standing.h
@@ -31,6 +31,11 @@
   Incarnation server;
   bool leaving = false;
   std::optional<coordination::Duration> pause;  // It wants nothing new so long.
+  // Requests a second, from all gateways together.
+  std::optional<double> limit_per_s = {};
+  // The server itself answered a request that was sent at this time, and named
+  // no limit.
+  std::optional<TimePoint> unlimited_since = {};
 };
 
 /** How a server may be used. */
--- a/routing/src/admission_queue.cc
+++ b/routing/src/admission_queue.cc
@@ -172,6 +172,11 @@
   return late;
 }
 
+std::size_t AdmissionQueue::size(std::string_view service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? 0 : found->second.by_need.size();
+}
+
 bool AdmissionQueue::empty(std::string_view service) const {
   const auto found = services_.find(service);
   return found == services_.end() || found->second.by_need.empty();
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -8021,6 +8021,217 @@
 }
 
 
+ServerLimit::~ServerLimit() noexcept {
+}
+
+
+void ServerLimit::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void ServerLimit::__set_born_ms(const int64_t val) {
+  this->born_ms = val;
+}
+
+void ServerLimit::__set_per_s(const double val) {
+  this->per_s = val;
+}
+
+void ServerLimit::__set_age_us(const int64_t val) {
+  this->age_us = val;
+}
+
+void ServerLimit::__set_charged(const int64_t val) {
+  this->charged = val;
+}
+
+void ServerLimit::__set_level(const int64_t val) {
+  this->level = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born_ms);
+          this->__isset.born_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->per_s);
+          this->__isset.per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_us);
+          this->__isset.age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->charged);
+          this->__isset.charged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->level);
+          this->__isset.level = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerLimit");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->born_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("per_s", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->per_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->age_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->charged);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("level", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->level);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerLimit &a, ServerLimit &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.born_ms, b.born_ms);
+  swap(a.per_s, b.per_s);
+  swap(a.age_us, b.age_us);
+  swap(a.charged, b.charged);
+  swap(a.level, b.level);
+  swap(a.__isset, b.__isset);
+}
+
+ServerLimit::ServerLimit(const ServerLimit& other269) {
+  id = other269.id;
+  born_ms = other269.born_ms;
+  per_s = other269.per_s;
+  age_us = other269.age_us;
+  charged = other269.charged;
+  level = other269.level;
+  __isset = other269.__isset;
+}
+ServerLimit::ServerLimit(ServerLimit&& other270) noexcept {
+  id = std::move(other270.id);
+  born_ms = other270.born_ms;
+  per_s = other270.per_s;
+  age_us = other270.age_us;
+  charged = other270.charged;
+  level = other270.level;
+  __isset = other270.__isset;
+}
+ServerLimit& ServerLimit::operator=(const ServerLimit& other271) {
+  id = other271.id;
+  born_ms = other271.born_ms;
+  per_s = other271.per_s;
+  age_us = other271.age_us;
+  charged = other271.charged;
+  level = other271.level;
+  __isset = other271.__isset;
+  return *this;
+}
+ServerLimit& ServerLimit::operator=(ServerLimit&& other272) noexcept {
+  id = std::move(other272.id);
+  born_ms = other272.born_ms;
+  per_s = other272.per_s;
+  age_us = other272.age_us;
+  charged = other272.charged;
+  level = other272.level;
+  __isset = other272.__isset;
+  return *this;
+}
+void ServerLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerLimit(";
+  out << "id=" << to_string(id);
+  out << ", " << "born_ms=" << to_string(born_ms);
+  out << ", " << "per_s=" << to_string(per_s);
+  out << ", " << "age_us=" << to_string(age_us);
+  out << ", " << "charged=" << to_string(charged);
+  out << ", " << "level=" << to_string(level);
+  out << ")";
+}
+
+
 UseNotice::~UseNotice() noexcept {
 }
 
@@ -8060,6 +8271,10 @@
 void UseNotice::__set_uptime_ms(const int64_t val) {
   this->uptime_ms = val;
 }
+
+void UseNotice::__set_limits(const std::vector<ServerLimit> & val) {
+  this->limits = val;
+}
 std::ostream& operator<<(std::ostream& out, const UseNotice& obj)
 {
   obj.printTo(out);
@@ -8108,14 +8323,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size269;
-            ::apache::thrift::protocol::TType _etype272;
-            xfer += iprot->readListBegin(_etype272, _size269);
-            this->uses.resize(_size269);
-            uint32_t _i273;
-            for (_i273 = 0; _i273 < _size269; ++_i273)
+            uint32_t _size273;
+            ::apache::thrift::protocol::TType _etype276;
+            xfer += iprot->readListBegin(_etype276, _size273);
+            this->uses.resize(_size273);
+            uint32_t _i277;
+            for (_i277 = 0; _i277 < _size273; ++_i277)
             {
-              xfer += this->uses[_i273].read(iprot);
+              xfer += this->uses[_i277].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8128,14 +8343,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prompts.clear();
-            uint32_t _size274;
-            ::apache::thrift::protocol::TType _etype277;
-            xfer += iprot->readListBegin(_etype277, _size274);
-            this->prompts.resize(_size274);
-            uint32_t _i278;
-            for (_i278 = 0; _i278 < _size274; ++_i278)
+            uint32_t _size278;
+            ::apache::thrift::protocol::TType _etype281;
+            xfer += iprot->readListBegin(_etype281, _size278);
+            this->prompts.resize(_size278);
+            uint32_t _i282;
+            for (_i282 = 0; _i282 < _size278; ++_i282)
             {
-              xfer += this->prompts[_i278].read(iprot);
+              xfer += this->prompts[_i282].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8164,14 +8379,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quotas.clear();
-            uint32_t _size279;
-            ::apache::thrift::protocol::TType _etype282;
-            xfer += iprot->readListBegin(_etype282, _size279);
-            this->quotas.resize(_size279);
-            uint32_t _i283;
-            for (_i283 = 0; _i283 < _size279; ++_i283)
+            uint32_t _size283;
+            ::apache::thrift::protocol::TType _etype286;
+            xfer += iprot->readListBegin(_etype286, _size283);
+            this->quotas.resize(_size283);
+            uint32_t _i287;
+            for (_i287 = 0; _i287 < _size283; ++_i287)
             {
-              xfer += this->quotas[_i283].read(iprot);
+              xfer += this->quotas[_i287].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8184,14 +8399,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size284;
-            ::apache::thrift::protocol::TType _etype287;
-            xfer += iprot->readListBegin(_etype287, _size284);
-            this->leaving.resize(_size284);
-            uint32_t _i288;
-            for (_i288 = 0; _i288 < _size284; ++_i288)
+            uint32_t _size288;
+            ::apache::thrift::protocol::TType _etype291;
+            xfer += iprot->readListBegin(_etype291, _size288);
+            this->leaving.resize(_size288);
+            uint32_t _i292;
+            for (_i292 = 0; _i292 < _size288; ++_i292)
             {
-              xfer += this->leaving[_i288].read(iprot);
+              xfer += this->leaving[_i292].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8208,6 +8423,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size293;
+            ::apache::thrift::protocol::TType _etype296;
+            xfer += iprot->readListBegin(_etype296, _size293);
+            this->limits.resize(_size293);
+            uint32_t _i297;
+            for (_i297 = 0; _i297 < _size293; ++_i297)
+            {
+              xfer += this->limits[_i297].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8236,10 +8471,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<ServerUse> ::const_iterator _iter289;
-    for (_iter289 = this->uses.begin(); _iter289 != this->uses.end(); ++_iter289)
+    std::vector<ServerUse> ::const_iterator _iter298;
+    for (_iter298 = this->uses.begin(); _iter298 != this->uses.end(); ++_iter298)
     {
-      xfer += (*_iter289).write(oprot);
+      xfer += (*_iter298).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8248,10 +8483,10 @@
   xfer += oprot->writeFieldBegin("prompts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prompts.size()));
-    std::vector<SentPrompt> ::const_iterator _iter290;
-    for (_iter290 = this->prompts.begin(); _iter290 != this->prompts.end(); ++_iter290)
+    std::vector<SentPrompt> ::const_iterator _iter299;
+    for (_iter299 = this->prompts.begin(); _iter299 != this->prompts.end(); ++_iter299)
     {
-      xfer += (*_iter290).write(oprot);
+      xfer += (*_iter299).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8268,10 +8503,10 @@
   xfer += oprot->writeFieldBegin("quotas", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quotas.size()));
-    std::vector<QuotaUse> ::const_iterator _iter291;
-    for (_iter291 = this->quotas.begin(); _iter291 != this->quotas.end(); ++_iter291)
+    std::vector<QuotaUse> ::const_iterator _iter300;
+    for (_iter300 = this->quotas.begin(); _iter300 != this->quotas.end(); ++_iter300)
     {
-      xfer += (*_iter291).write(oprot);
+      xfer += (*_iter300).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8280,10 +8515,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<LeavingServer> ::const_iterator _iter292;
-    for (_iter292 = this->leaving.begin(); _iter292 != this->leaving.end(); ++_iter292)
+    std::vector<LeavingServer> ::const_iterator _iter301;
+    for (_iter301 = this->leaving.begin(); _iter301 != this->leaving.end(); ++_iter301)
     {
-      xfer += (*_iter292).write(oprot);
+      xfer += (*_iter301).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8293,6 +8528,18 @@
   xfer += oprot->writeI64(this->uptime_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+    std::vector<ServerLimit> ::const_iterator _iter302;
+    for (_iter302 = this->limits.begin(); _iter302 != this->limits.end(); ++_iter302)
+    {
+      xfer += (*_iter302).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8309,57 +8556,62 @@
   swap(a.quotas, b.quotas);
   swap(a.leaving, b.leaving);
   swap(a.uptime_ms, b.uptime_ms);
+  swap(a.limits, b.limits);
   swap(a.__isset, b.__isset);
 }
 
-UseNotice::UseNotice(const UseNotice& other293) {
-  incarnation = other293.incarnation;
-  sequence = other293.sequence;
-  uses = other293.uses;
-  prompts = other293.prompts;
-  whole = other293.whole;
-  crash_facts = other293.crash_facts;
-  quotas = other293.quotas;
-  leaving = other293.leaving;
-  uptime_ms = other293.uptime_ms;
-  __isset = other293.__isset;
-}
-UseNotice::UseNotice(UseNotice&& other294) noexcept {
-  incarnation = other294.incarnation;
-  sequence = other294.sequence;
-  uses = std::move(other294.uses);
-  prompts = std::move(other294.prompts);
-  whole = other294.whole;
-  crash_facts = std::move(other294.crash_facts);
-  quotas = std::move(other294.quotas);
-  leaving = std::move(other294.leaving);
-  uptime_ms = other294.uptime_ms;
-  __isset = other294.__isset;
-}
-UseNotice& UseNotice::operator=(const UseNotice& other295) {
-  incarnation = other295.incarnation;
-  sequence = other295.sequence;
-  uses = other295.uses;
-  prompts = other295.prompts;
-  whole = other295.whole;
-  crash_facts = other295.crash_facts;
-  quotas = other295.quotas;
-  leaving = other295.leaving;
-  uptime_ms = other295.uptime_ms;
-  __isset = other295.__isset;
+UseNotice::UseNotice(const UseNotice& other303) {
+  incarnation = other303.incarnation;
+  sequence = other303.sequence;
+  uses = other303.uses;
+  prompts = other303.prompts;
+  whole = other303.whole;
+  crash_facts = other303.crash_facts;
+  quotas = other303.quotas;
+  leaving = other303.leaving;
+  uptime_ms = other303.uptime_ms;
+  limits = other303.limits;
+  __isset = other303.__isset;
+}
+UseNotice::UseNotice(UseNotice&& other304) noexcept {
+  incarnation = other304.incarnation;
+  sequence = other304.sequence;
+  uses = std::move(other304.uses);
+  prompts = std::move(other304.prompts);
+  whole = other304.whole;
+  crash_facts = std::move(other304.crash_facts);
+  quotas = std::move(other304.quotas);
+  leaving = std::move(other304.leaving);
+  uptime_ms = other304.uptime_ms;
+  limits = std::move(other304.limits);
+  __isset = other304.__isset;
+}
+UseNotice& UseNotice::operator=(const UseNotice& other305) {
+  incarnation = other305.incarnation;
+  sequence = other305.sequence;
+  uses = other305.uses;
+  prompts = other305.prompts;
+  whole = other305.whole;
+  crash_facts = other305.crash_facts;
+  quotas = other305.quotas;
+  leaving = other305.leaving;
+  uptime_ms = other305.uptime_ms;
+  limits = other305.limits;
+  __isset = other305.__isset;
   return *this;
 }
-UseNotice& UseNotice::operator=(UseNotice&& other296) noexcept {
-  incarnation = other296.incarnation;
-  sequence = other296.sequence;
-  uses = std::move(other296.uses);
-  prompts = std::move(other296.prompts);
-  whole = other296.whole;
-  crash_facts = std::move(other296.crash_facts);
-  quotas = std::move(other296.quotas);
-  leaving = std::move(other296.leaving);
-  uptime_ms = other296.uptime_ms;
-  __isset = other296.__isset;
+UseNotice& UseNotice::operator=(UseNotice&& other306) noexcept {
+  incarnation = other306.incarnation;
+  sequence = other306.sequence;
+  uses = std::move(other306.uses);
+  prompts = std::move(other306.prompts);
+  whole = other306.whole;
+  crash_facts = std::move(other306.crash_facts);
+  quotas = std::move(other306.quotas);
+  leaving = std::move(other306.leaving);
+  uptime_ms = other306.uptime_ms;
+  limits = std::move(other306.limits);
+  __isset = other306.__isset;
   return *this;
 }
 void UseNotice::printTo(std::ostream& out) const {
@@ -8374,6 +8626,7 @@
   out << ", " << "quotas=" << to_string(quotas);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "uptime_ms=" << to_string(uptime_ms);
+  out << ", " << "limits=" << to_string(limits);
   out << ")";
 }
 
@@ -8470,26 +8723,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RowPiece::RowPiece(const RowPiece& other297) noexcept {
-  offset = other297.offset;
-  size = other297.size;
-  __isset = other297.__isset;
+RowPiece::RowPiece(const RowPiece& other307) noexcept {
+  offset = other307.offset;
+  size = other307.size;
+  __isset = other307.__isset;
 }
-RowPiece::RowPiece(RowPiece&& other298) noexcept {
-  offset = other298.offset;
-  size = other298.size;
-  __isset = other298.__isset;
+RowPiece::RowPiece(RowPiece&& other308) noexcept {
+  offset = other308.offset;
+  size = other308.size;
+  __isset = other308.__isset;
 }
-RowPiece& RowPiece::operator=(const RowPiece& other299) noexcept {
-  offset = other299.offset;
-  size = other299.size;
-  __isset = other299.__isset;
+RowPiece& RowPiece::operator=(const RowPiece& other309) noexcept {
+  offset = other309.offset;
+  size = other309.size;
+  __isset = other309.__isset;
   return *this;
 }
-RowPiece& RowPiece::operator=(RowPiece&& other300) noexcept {
-  offset = other300.offset;
-  size = other300.size;
-  __isset = other300.__isset;
+RowPiece& RowPiece::operator=(RowPiece&& other310) noexcept {
+  offset = other310.offset;
+  size = other310.size;
+  __isset = other310.__isset;
   return *this;
 }
 void RowPiece::printTo(std::ostream& out) const {
@@ -8564,14 +8817,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pieces.clear();
-            uint32_t _size301;
-            ::apache::thrift::protocol::TType _etype304;
-            xfer += iprot->readListBegin(_etype304, _size301);
-            this->pieces.resize(_size301);
-            uint32_t _i305;
-            for (_i305 = 0; _i305 < _size301; ++_i305)
+            uint32_t _size311;
+            ::apache::thrift::protocol::TType _etype314;
+            xfer += iprot->readListBegin(_etype314, _size311);
+            this->pieces.resize(_size311);
+            uint32_t _i315;
+            for (_i315 = 0; _i315 < _size311; ++_i315)
             {
-              xfer += this->pieces[_i305].read(iprot);
+              xfer += this->pieces[_i315].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8628,10 +8881,10 @@
   xfer += oprot->writeFieldBegin("pieces", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pieces.size()));
-    std::vector<RowPiece> ::const_iterator _iter306;
-    for (_iter306 = this->pieces.begin(); _iter306 != this->pieces.end(); ++_iter306)
+    std::vector<RowPiece> ::const_iterator _iter316;
+    for (_iter316 = this->pieces.begin(); _iter316 != this->pieces.end(); ++_iter316)
     {
-      xfer += (*_iter306).write(oprot);
+      xfer += (*_iter316).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8664,38 +8917,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RowPatch::RowPatch(const RowPatch& other307) {
-  base_version = other307.base_version;
-  pieces = other307.pieces;
-  literals = other307.literals;
-  literal_bytes = other307.literal_bytes;
-  checksum = other307.checksum;
-  __isset = other307.__isset;
-}
-RowPatch::RowPatch(RowPatch&& other308) noexcept {
-  base_version = other308.base_version;
-  pieces = std::move(other308.pieces);
-  literals = std::move(other308.literals);
-  literal_bytes = other308.literal_bytes;
-  checksum = other308.checksum;
-  __isset = other308.__isset;
-}
-RowPatch& RowPatch::operator=(const RowPatch& other309) {
-  base_version = other309.base_version;
-  pieces = other309.pieces;
-  literals = other309.literals;
-  literal_bytes = other309.literal_bytes;
-  checksum = other309.checksum;
-  __isset = other309.__isset;
+RowPatch::RowPatch(const RowPatch& other317) {
+  base_version = other317.base_version;
+  pieces = other317.pieces;
+  literals = other317.literals;
+  literal_bytes = other317.literal_bytes;
+  checksum = other317.checksum;
+  __isset = other317.__isset;
+}
+RowPatch::RowPatch(RowPatch&& other318) noexcept {
+  base_version = other318.base_version;
+  pieces = std::move(other318.pieces);
+  literals = std::move(other318.literals);
+  literal_bytes = other318.literal_bytes;
+  checksum = other318.checksum;
+  __isset = other318.__isset;
+}
+RowPatch& RowPatch::operator=(const RowPatch& other319) {
+  base_version = other319.base_version;
+  pieces = other319.pieces;
+  literals = other319.literals;
+  literal_bytes = other319.literal_bytes;
+  checksum = other319.checksum;
+  __isset = other319.__isset;
   return *this;
 }
-RowPatch& RowPatch::operator=(RowPatch&& other310) noexcept {
-  base_version = other310.base_version;
-  pieces = std::move(other310.pieces);
-  literals = std::move(other310.literals);
-  literal_bytes = other310.literal_bytes;
-  checksum = other310.checksum;
-  __isset = other310.__isset;
+RowPatch& RowPatch::operator=(RowPatch&& other320) noexcept {
+  base_version = other320.base_version;
+  pieces = std::move(other320.pieces);
+  literals = std::move(other320.literals);
+  literal_bytes = other320.literal_bytes;
+  checksum = other320.checksum;
+  __isset = other320.__isset;
   return *this;
 }
 void RowPatch::printTo(std::ostream& out) const {
@@ -8855,38 +9108,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RowCopy::RowCopy(const RowCopy& other311) {
-  key = other311.key;
-  value = other311.value;
-  version = other311.version;
-  removed = other311.removed;
-  patch = other311.patch;
-  __isset = other311.__isset;
-}
-RowCopy::RowCopy(RowCopy&& other312) noexcept {
-  key = std::move(other312.key);
-  value = std::move(other312.value);
-  version = other312.version;
-  removed = other312.removed;
-  patch = std::move(other312.patch);
-  __isset = other312.__isset;
-}
-RowCopy& RowCopy::operator=(const RowCopy& other313) {
-  key = other313.key;
-  value = other313.value;
-  version = other313.version;
-  removed = other313.removed;
-  patch = other313.patch;
-  __isset = other313.__isset;
+RowCopy::RowCopy(const RowCopy& other321) {
+  key = other321.key;
+  value = other321.value;
+  version = other321.version;
+  removed = other321.removed;
+  patch = other321.patch;
+  __isset = other321.__isset;
+}
+RowCopy::RowCopy(RowCopy&& other322) noexcept {
+  key = std::move(other322.key);
+  value = std::move(other322.value);
+  version = other322.version;
+  removed = other322.removed;
+  patch = std::move(other322.patch);
+  __isset = other322.__isset;
+}
+RowCopy& RowCopy::operator=(const RowCopy& other323) {
+  key = other323.key;
+  value = other323.value;
+  version = other323.version;
+  removed = other323.removed;
+  patch = other323.patch;
+  __isset = other323.__isset;
   return *this;
 }
-RowCopy& RowCopy::operator=(RowCopy&& other314) noexcept {
-  key = std::move(other314.key);
-  value = std::move(other314.value);
-  version = other314.version;
-  removed = other314.removed;
-  patch = std::move(other314.patch);
-  __isset = other314.__isset;
+RowCopy& RowCopy::operator=(RowCopy&& other324) noexcept {
+  key = std::move(other324.key);
+  value = std::move(other324.value);
+  version = other324.version;
+  removed = other324.removed;
+  patch = std::move(other324.patch);
+  __isset = other324.__isset;
   return *this;
 }
 void RowCopy::printTo(std::ostream& out) const {
@@ -8976,14 +9229,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size315;
-            ::apache::thrift::protocol::TType _etype318;
-            xfer += iprot->readListBegin(_etype318, _size315);
-            this->rows.resize(_size315);
-            uint32_t _i319;
-            for (_i319 = 0; _i319 < _size315; ++_i319)
+            uint32_t _size325;
+            ::apache::thrift::protocol::TType _etype328;
+            xfer += iprot->readListBegin(_etype328, _size325);
+            this->rows.resize(_size325);
+            uint32_t _i329;
+            for (_i329 = 0; _i329 < _size325; ++_i329)
             {
-              xfer += this->rows[_i319].read(iprot);
+              xfer += this->rows[_i329].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9024,10 +9277,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<RowCopy> ::const_iterator _iter320;
-    for (_iter320 = this->rows.begin(); _iter320 != this->rows.end(); ++_iter320)
+    std::vector<RowCopy> ::const_iterator _iter330;
+    for (_iter330 = this->rows.begin(); _iter330 != this->rows.end(); ++_iter330)
     {
-      xfer += (*_iter320).write(oprot);
+      xfer += (*_iter330).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9047,34 +9300,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TableCopy::TableCopy(const TableCopy& other321) {
-  name = other321.name;
-  version = other321.version;
-  whole = other321.whole;
-  rows = other321.rows;
-  __isset = other321.__isset;
+TableCopy::TableCopy(const TableCopy& other331) {
+  name = other331.name;
+  version = other331.version;
+  whole = other331.whole;
+  rows = other331.rows;
+  __isset = other331.__isset;
 }
-TableCopy::TableCopy(TableCopy&& other322) noexcept {
-  name = std::move(other322.name);
-  version = other322.version;
-  whole = other322.whole;
-  rows = std::move(other322.rows);
-  __isset = other322.__isset;
+TableCopy::TableCopy(TableCopy&& other332) noexcept {
+  name = std::move(other332.name);
+  version = other332.version;
+  whole = other332.whole;
+  rows = std::move(other332.rows);
+  __isset = other332.__isset;
 }
-TableCopy& TableCopy::operator=(const TableCopy& other323) {
-  name = other323.name;
-  version = other323.version;
-  whole = other323.whole;
-  rows = other323.rows;
-  __isset = other323.__isset;
+TableCopy& TableCopy::operator=(const TableCopy& other333) {
+  name = other333.name;
+  version = other333.version;
+  whole = other333.whole;
+  rows = other333.rows;
+  __isset = other333.__isset;
   return *this;
 }
-TableCopy& TableCopy::operator=(TableCopy&& other324) noexcept {
-  name = std::move(other324.name);
-  version = other324.version;
-  whole = other324.whole;
-  rows = std::move(other324.rows);
-  __isset = other324.__isset;
+TableCopy& TableCopy::operator=(TableCopy&& other334) noexcept {
+  name = std::move(other334.name);
+  version = other334.version;
+  whole = other334.whole;
+  rows = std::move(other334.rows);
+  __isset = other334.__isset;
   return *this;
 }
 void TableCopy::printTo(std::ostream& out) const {
@@ -9143,14 +9396,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size325;
-            ::apache::thrift::protocol::TType _etype328;
-            xfer += iprot->readListBegin(_etype328, _size325);
-            this->tables.resize(_size325);
-            uint32_t _i329;
-            for (_i329 = 0; _i329 < _size325; ++_i329)
+            uint32_t _size335;
+            ::apache::thrift::protocol::TType _etype338;
+            xfer += iprot->readListBegin(_etype338, _size335);
+            this->tables.resize(_size335);
+            uint32_t _i339;
+            for (_i339 = 0; _i339 < _size335; ++_i339)
             {
-              xfer += this->tables[_i329].read(iprot);
+              xfer += this->tables[_i339].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9191,10 +9444,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
-    std::vector<TableCopy> ::const_iterator _iter330;
-    for (_iter330 = this->tables.begin(); _iter330 != this->tables.end(); ++_iter330)
+    std::vector<TableCopy> ::const_iterator _iter340;
+    for (_iter340 = this->tables.begin(); _iter340 != this->tables.end(); ++_iter340)
     {
-      xfer += (*_iter330).write(oprot);
+      xfer += (*_iter340).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9217,30 +9470,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedCopy::FeedCopy(const FeedCopy& other331) {
-  age_ms = other331.age_ms;
-  tables = other331.tables;
-  from_store = other331.from_store;
-  __isset = other331.__isset;
+FeedCopy::FeedCopy(const FeedCopy& other341) {
+  age_ms = other341.age_ms;
+  tables = other341.tables;
+  from_store = other341.from_store;
+  __isset = other341.__isset;
 }
-FeedCopy::FeedCopy(FeedCopy&& other332) noexcept {
-  age_ms = other332.age_ms;
-  tables = std::move(other332.tables);
-  from_store = other332.from_store;
-  __isset = other332.__isset;
+FeedCopy::FeedCopy(FeedCopy&& other342) noexcept {
+  age_ms = other342.age_ms;
+  tables = std::move(other342.tables);
+  from_store = other342.from_store;
+  __isset = other342.__isset;
 }
-FeedCopy& FeedCopy::operator=(const FeedCopy& other333) {
-  age_ms = other333.age_ms;
-  tables = other333.tables;
-  from_store = other333.from_store;
-  __isset = other333.__isset;
+FeedCopy& FeedCopy::operator=(const FeedCopy& other343) {
+  age_ms = other343.age_ms;
+  tables = other343.tables;
+  from_store = other343.from_store;
+  __isset = other343.__isset;
   return *this;
 }
-FeedCopy& FeedCopy::operator=(FeedCopy&& other334) noexcept {
-  age_ms = other334.age_ms;
-  tables = std::move(other334.tables);
-  from_store = other334.from_store;
-  __isset = other334.__isset;
+FeedCopy& FeedCopy::operator=(FeedCopy&& other344) noexcept {
+  age_ms = other344.age_ms;
+  tables = std::move(other344.tables);
+  from_store = other344.from_store;
+  __isset = other344.__isset;
   return *this;
 }
 void FeedCopy::printTo(std::ostream& out) const {
@@ -9345,26 +9598,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RowMark::RowMark(const RowMark& other335) {
-  key = other335.key;
-  version = other335.version;
-  __isset = other335.__isset;
+RowMark::RowMark(const RowMark& other345) {
+  key = other345.key;
+  version = other345.version;
+  __isset = other345.__isset;
 }
-RowMark::RowMark(RowMark&& other336) noexcept {
-  key = std::move(other336.key);
-  version = other336.version;
-  __isset = other336.__isset;
+RowMark::RowMark(RowMark&& other346) noexcept {
+  key = std::move(other346.key);
+  version = other346.version;
+  __isset = other346.__isset;
 }
-RowMark& RowMark::operator=(const RowMark& other337) {
-  key = other337.key;
-  version = other337.version;
-  __isset = other337.__isset;
+RowMark& RowMark::operator=(const RowMark& other347) {
+  key = other347.key;
+  version = other347.version;
+  __isset = other347.__isset;
   return *this;
 }
-RowMark& RowMark::operator=(RowMark&& other338) noexcept {
-  key = std::move(other338.key);
-  version = other338.version;
-  __isset = other338.__isset;
+RowMark& RowMark::operator=(RowMark&& other348) noexcept {
+  key = std::move(other348.key);
+  version = other348.version;
+  __isset = other348.__isset;
   return *this;
 }
 void RowMark::printTo(std::ostream& out) const {
@@ -9439,14 +9692,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size339;
-            ::apache::thrift::protocol::TType _etype342;
-            xfer += iprot->readListBegin(_etype342, _size339);
-            this->rows.resize(_size339);
-            uint32_t _i343;
-            for (_i343 = 0; _i343 < _size339; ++_i343)
+            uint32_t _size349;
+            ::apache::thrift::protocol::TType _etype352;
+            xfer += iprot->readListBegin(_etype352, _size349);
+            this->rows.resize(_size349);
+            uint32_t _i353;
+            for (_i353 = 0; _i353 < _size349; ++_i353)
             {
-              xfer += this->rows[_i343].read(iprot);
+              xfer += this->rows[_i353].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9483,10 +9736,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<RowMark> ::const_iterator _iter344;
-    for (_iter344 = this->rows.begin(); _iter344 != this->rows.end(); ++_iter344)
+    std::vector<RowMark> ::const_iterator _iter354;
+    for (_iter354 = this->rows.begin(); _iter354 != this->rows.end(); ++_iter354)
     {
-      xfer += (*_iter344).write(oprot);
+      xfer += (*_iter354).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9505,30 +9758,30 @@
   swap(a.__isset, b.__isset);
 }
 
-TableMark::TableMark(const TableMark& other345) {
-  name = other345.name;
-  version = other345.version;
-  rows = other345.rows;
-  __isset = other345.__isset;
+TableMark::TableMark(const TableMark& other355) {
+  name = other355.name;
+  version = other355.version;
+  rows = other355.rows;
+  __isset = other355.__isset;
 }
-TableMark::TableMark(TableMark&& other346) noexcept {
-  name = std::move(other346.name);
-  version = other346.version;
-  rows = std::move(other346.rows);
-  __isset = other346.__isset;
+TableMark::TableMark(TableMark&& other356) noexcept {
+  name = std::move(other356.name);
+  version = other356.version;
+  rows = std::move(other356.rows);
+  __isset = other356.__isset;
 }
-TableMark& TableMark::operator=(const TableMark& other347) {
-  name = other347.name;
-  version = other347.version;
-  rows = other347.rows;
-  __isset = other347.__isset;
+TableMark& TableMark::operator=(const TableMark& other357) {
+  name = other357.name;
+  version = other357.version;
+  rows = other357.rows;
+  __isset = other357.__isset;
   return *this;
 }
-TableMark& TableMark::operator=(TableMark&& other348) noexcept {
-  name = std::move(other348.name);
-  version = other348.version;
-  rows = std::move(other348.rows);
-  __isset = other348.__isset;
+TableMark& TableMark::operator=(TableMark&& other358) noexcept {
+  name = std::move(other358.name);
+  version = other358.version;
+  rows = std::move(other358.rows);
+  __isset = other358.__isset;
   return *this;
 }
 void TableMark::printTo(std::ostream& out) const {
@@ -9596,14 +9849,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size349;
-            ::apache::thrift::protocol::TType _etype352;
-            xfer += iprot->readListBegin(_etype352, _size349);
-            this->tables.resize(_size349);
-            uint32_t _i353;
-            for (_i353 = 0; _i353 < _size349; ++_i353)
+            uint32_t _size359;
+            ::apache::thrift::protocol::TType _etype362;
+            xfer += iprot->readListBegin(_etype362, _size359);
+            this->tables.resize(_size359);
+            uint32_t _i363;
+            for (_i363 = 0; _i363 < _size359; ++_i363)
             {
-              xfer += this->tables[_i353].read(iprot);
+              xfer += this->tables[_i363].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9644,10 +9897,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
-    std::vector<TableMark> ::const_iterator _iter354;
-    for (_iter354 = this->tables.begin(); _iter354 != this->tables.end(); ++_iter354)
+    std::vector<TableMark> ::const_iterator _iter364;
+    for (_iter364 = this->tables.begin(); _iter364 != this->tables.end(); ++_iter364)
     {
-      xfer += (*_iter354).write(oprot);
+      xfer += (*_iter364).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9670,30 +9923,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedQuery::FeedQuery(const FeedQuery& other355) {
-  wait_ms = other355.wait_ms;
-  tables = other355.tables;
-  patches = other355.patches;
-  __isset = other355.__isset;
+FeedQuery::FeedQuery(const FeedQuery& other365) {
+  wait_ms = other365.wait_ms;
+  tables = other365.tables;
+  patches = other365.patches;
+  __isset = other365.__isset;
 }
-FeedQuery::FeedQuery(FeedQuery&& other356) noexcept {
-  wait_ms = other356.wait_ms;
-  tables = std::move(other356.tables);
-  patches = other356.patches;
-  __isset = other356.__isset;
+FeedQuery::FeedQuery(FeedQuery&& other366) noexcept {
+  wait_ms = other366.wait_ms;
+  tables = std::move(other366.tables);
+  patches = other366.patches;
+  __isset = other366.__isset;
 }
-FeedQuery& FeedQuery::operator=(const FeedQuery& other357) {
-  wait_ms = other357.wait_ms;
-  tables = other357.tables;
-  patches = other357.patches;
-  __isset = other357.__isset;
+FeedQuery& FeedQuery::operator=(const FeedQuery& other367) {
+  wait_ms = other367.wait_ms;
+  tables = other367.tables;
+  patches = other367.patches;
+  __isset = other367.__isset;
   return *this;
 }
-FeedQuery& FeedQuery::operator=(FeedQuery&& other358) noexcept {
-  wait_ms = other358.wait_ms;
-  tables = std::move(other358.tables);
-  patches = other358.patches;
-  __isset = other358.__isset;
+FeedQuery& FeedQuery::operator=(FeedQuery&& other368) noexcept {
+  wait_ms = other368.wait_ms;
+  tables = std::move(other368.tables);
+  patches = other368.patches;
+  __isset = other368.__isset;
   return *this;
 }
 void FeedQuery::printTo(std::ostream& out) const {
@@ -9795,9 +10048,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast359;
-          xfer += iprot->readI32(ecast359);
-          this->state = static_cast<ClaimState::type>(ecast359);
+          int32_t ecast369;
+          xfer += iprot->readI32(ecast369);
+          this->state = static_cast<ClaimState::type>(ecast369);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9902,50 +10155,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRecord::ClaimRecord(const ClaimRecord& other360) {
-  attempt_token = other360.attempt_token;
-  agent = other360.agent;
-  body_digest = other360.body_digest;
-  state = other360.state;
-  status = other360.status;
-  content_type = other360.content_type;
-  body = other360.body;
-  at_ms = other360.at_ms;
-  __isset = other360.__isset;
-}
-ClaimRecord::ClaimRecord(ClaimRecord&& other361) noexcept {
-  attempt_token = std::move(other361.attempt_token);
-  agent = std::move(other361.agent);
-  body_digest = std::move(other361.body_digest);
-  state = other361.state;
-  status = other361.status;
-  content_type = std::move(other361.content_type);
-  body = std::move(other361.body);
-  at_ms = other361.at_ms;
-  __isset = other361.__isset;
-}
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other362) {
-  attempt_token = other362.attempt_token;
-  agent = other362.agent;
-  body_digest = other362.body_digest;
-  state = other362.state;
-  status = other362.status;
-  content_type = other362.content_type;
-  body = other362.body;
-  at_ms = other362.at_ms;
-  __isset = other362.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other370) {
+  attempt_token = other370.attempt_token;
+  agent = other370.agent;
+  body_digest = other370.body_digest;
+  state = other370.state;
+  status = other370.status;
+  content_type = other370.content_type;
+  body = other370.body;
+  at_ms = other370.at_ms;
+  __isset = other370.__isset;
+}
+ClaimRecord::ClaimRecord(ClaimRecord&& other371) noexcept {
+  attempt_token = std::move(other371.attempt_token);
+  agent = std::move(other371.agent);
+  body_digest = std::move(other371.body_digest);
+  state = other371.state;
+  status = other371.status;
+  content_type = std::move(other371.content_type);
+  body = std::move(other371.body);
+  at_ms = other371.at_ms;
+  __isset = other371.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other372) {
+  attempt_token = other372.attempt_token;
+  agent = other372.agent;
+  body_digest = other372.body_digest;
+  state = other372.state;
+  status = other372.status;
+  content_type = other372.content_type;
+  body = other372.body;
+  at_ms = other372.at_ms;
+  __isset = other372.__isset;
   return *this;
 }
-ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other363) noexcept {
-  attempt_token = std::move(other363.attempt_token);
-  agent = std::move(other363.agent);
-  body_digest = std::move(other363.body_digest);
-  state = other363.state;
-  status = other363.status;
-  content_type = std::move(other363.content_type);
-  body = std::move(other363.body);
-  at_ms = other363.at_ms;
-  __isset = other363.__isset;
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other373) noexcept {
+  attempt_token = std::move(other373.attempt_token);
+  agent = std::move(other373.agent);
+  body_digest = std::move(other373.body_digest);
+  state = other373.state;
+  status = other373.status;
+  content_type = std::move(other373.content_type);
+  body = std::move(other373.body);
+  at_ms = other373.at_ms;
+  __isset = other373.__isset;
   return *this;
 }
 void ClaimRecord::printTo(std::ostream& out) const {
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -211,6 +211,8 @@
 
 class LeavingServer;
 
+class ServerLimit;
+
 class UseNotice;
 
 class RowPiece;
@@ -3074,8 +3076,88 @@
 
 std::ostream& operator<<(std::ostream& out, const LeavingServer& obj);
 
+typedef struct _ServerLimit__isset {
+  _ServerLimit__isset() : id(false), born_ms(false), per_s(false), age_us(false), charged(false), level(false) {}
+  bool id :1;
+  bool born_ms :1;
+  bool per_s :1;
+  bool age_us :1;
+  bool charged :1;
+  bool level :1;
+} _ServerLimit__isset;
+
+class ServerLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerLimit(const ServerLimit&);
+  ServerLimit(ServerLimit&&) noexcept;
+  ServerLimit& operator=(const ServerLimit&);
+  ServerLimit& operator=(ServerLimit&&) noexcept;
+  ServerLimit() noexcept
+              : id(),
+                born_ms(0),
+                per_s(0),
+                age_us(0),
+                charged(0),
+                level(0) {
+  }
+
+  virtual ~ServerLimit() noexcept;
+  std::string id;
+  int64_t born_ms;
+  double per_s;
+  int64_t age_us;
+  int64_t charged;
+  int64_t level;
+
+  _ServerLimit__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_born_ms(const int64_t val);
+
+  void __set_per_s(const double val);
+
+  void __set_age_us(const int64_t val);
+
+  void __set_charged(const int64_t val);
+
+  void __set_level(const int64_t val);
+
+  bool operator == (const ServerLimit & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(born_ms == rhs.born_ms))
+      return false;
+    if (!(per_s == rhs.per_s))
+      return false;
+    if (!(age_us == rhs.age_us))
+      return false;
+    if (!(charged == rhs.charged))
+      return false;
+    if (!(level == rhs.level))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerLimit &a, ServerLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerLimit& obj);
+
 typedef struct _UseNotice__isset {
-  _UseNotice__isset() : incarnation(false), sequence(false), uses(false), prompts(false), whole(false), crash_facts(false), quotas(false), leaving(false), uptime_ms(false) {}
+  _UseNotice__isset() : incarnation(false), sequence(false), uses(false), prompts(false), whole(false), crash_facts(false), quotas(false), leaving(false), uptime_ms(false), limits(false) {}
   bool incarnation :1;
   bool sequence :1;
   bool uses :1;
@@ -3085,6 +3167,7 @@
   bool quotas :1;
   bool leaving :1;
   bool uptime_ms :1;
+  bool limits :1;
 } _UseNotice__isset;
 
 class UseNotice : public virtual ::apache::thrift::TBase {
@@ -3111,6 +3194,7 @@
   std::vector<QuotaUse>  quotas;
   std::vector<LeavingServer>  leaving;
   int64_t uptime_ms;
+  std::vector<ServerLimit>  limits;
 
   _UseNotice__isset __isset;
 
@@ -3132,6 +3216,8 @@
 
   void __set_uptime_ms(const int64_t val);
 
+  void __set_limits(const std::vector<ServerLimit> & val);
+
   bool operator == (const UseNotice & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -3152,6 +3238,8 @@
       return false;
     if (!(uptime_ms == rhs.uptime_ms))
       return false;
+    if (!(limits == rhs.limits))
+      return false;
     return true;
   }
   bool operator != (const UseNotice &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -214,10 +214,18 @@
 // A server whose answers say that it is leaving; `born_ms` tells incarnations
 // under the same id apart.
 struct LeavingServer { 1: string id, 2: i64 born_ms }
+// A server's own limit in requests a second over all gateways (0: it names none
+// any more), `age_us` after the answer that said so; what the sender charged since
+// it started, and its copy of the bucket, in thousandths of requests.
+struct ServerLimit {
+  1: string id, 2: i64 born_ms, 3: double per_s, 4: i64 age_us, 5: i64 charged,
+  6: i64 level
+}
 struct UseNotice {
   1: i64 incarnation, 2: i64 sequence, 3: list<ServerUse> uses,
   4: list<SentPrompt> prompts, 5: bool whole, 6: CrashFacts crash_facts,
-  7: list<QuotaUse> quotas, 8: list<LeavingServer> leaving, 9: i64 uptime_ms
+  7: list<QuotaUse> quotas, 8: list<LeavingServer> leaving, 9: i64 uptime_ms,
+  10: list<ServerLimit> limits
 }
 // One gateway's copy of rows of the platform's store, for gateways that don't
 // read the store themselves. `age_ms`: time since the store confirmed the rows.
