Drop a kept connection on which a server wrote more than its answer

Cause: HttpClient kept a connection after an answer that was followed by more bytes, and used it without looking for bytes that had come since. A copy of an answer or of a refusal was taken for the answer to the next request; on the agent's path callers of repeatable requests could get it. Change: such connections are closed. Measured: HttpClient.ACopyOfAnAnswerOnAKeptConnectionAnswersNoOtherRequest failed before (three of three later requests got the answer before theirs) and passes.

--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -1,5 +1,8 @@
 // The client half of runtime/http.h.
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <memory>
 #include <utility>
@@ -37,6 +40,15 @@
   return ec == beast::error::timeout ? HttpError::kTimeout : HttpError::kBroken;
 }
 
+// Whether the server neither closed the connection nor sent anything that no
+// request asked for, such as a copy of an answer.
+bool IsQuiet(beast::tcp_stream& stream) {
+  char byte = 0;
+  const auto n = ::recv(stream.socket().native_handle(), &byte, 1,
+                        MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 // Cancels a stream when a read waits longer than `idle`. Uses one timer per
 // stream, which is not restarted for each read.
 class IdleTimeout : public std::enable_shared_from_this<IdleTimeout> {
@@ -142,10 +154,12 @@
   std::vector<peridotgate::runtime::Stream> idle_streams;
 
   asio::awaitable<peridotgate::runtime::Stream> Connect(Connection connection) {
-    if (connection == Connection::kKept && !idle_streams.empty()) {
+    while (connection == Connection::kKept && !idle_streams.empty()) {
       auto stream = std::move(idle_streams.back());
       idle_streams.pop_back();
-      co_return stream;
+      if (IsQuiet(*stream)) {
+        co_return stream;
+      }
     }
     auto stream = std::make_unique<beast::tcp_stream>(context);
     tcp::endpoint address(asio::ip::make_address(server.address), server.port);
@@ -196,8 +210,10 @@
     return error;
   }
 
-  void KeepIdle(peridotgate::runtime::Stream stream) {
-    if (idle_streams.size() < kMaxIdleStreams) {
+  // Keeps the connection, unless `rest` holds more than the answer.
+  void KeepIdle(peridotgate::runtime::Stream stream,
+                const beast::flat_buffer& rest) {
+    if (rest.size() == 0 && idle_streams.size() < kMaxIdleStreams) {
       stream->expires_never();
       idle_streams.push_back(std::move(stream));
     }
@@ -228,7 +244,7 @@
     co_return impl_->OnFailure(ec);
   }
   if (parser.get().keep_alive()) {
-    impl_->KeepIdle(std::move(stream));
+    impl_->KeepIdle(std::move(stream), buf);
   }
   co_return parser.release();
 }
@@ -257,7 +273,7 @@
         std::min(end, std::chrono::steady_clock::now() + limits.idle));
   }
   if (parser.get().keep_alive()) {
-    impl_->KeepIdle(std::move(stream));
+    impl_->KeepIdle(std::move(stream), buf);
   }
   co_return parser.release();
 }
@@ -303,7 +319,7 @@
   }
   idle_scope.Stop();
   if (parser.get().keep_alive()) {
-    impl_->KeepIdle(std::move(stream));
+    impl_->KeepIdle(std::move(stream), buf);
   }
   co_return coordination::outcome::success();
 }
