End a server's limit only by the answer to the request itself

Cause: the head of an earlier answer on the same connection, written once more, counted as an answer to the present request, and could end a limit that was named since. Change: only a head with the request's id shows that a limit has ended.

--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -540,11 +540,12 @@
 }
 
 // What a server says of itself holds as soon as the head has come, whatever
-// becomes of the answer.
+// becomes of the answer. It may also be the head of an earlier one.
 void Exchange::OnServerHead(const Placement& placement,
                             const ResponseHead& head) {
+  const bool own = parts_.servers.Read(head).request_id == request_.request_id;
   ApplyNotice(parts_, ReadNotice({placement.server_id, placement.born_ms}, head,
-                                 parts_.servers, sent_at_));
+                                 parts_.servers, own ? sent_at_ : TimePoint{}));
 }
 
 asio::awaitable<std::shared_ptr<ServerConnection>> Exchange::Connect(
