--- a/testing/soak/server_stand_in.cc
+++ b/testing/soak/server_stand_in.cc
@@ -159,6 +159,7 @@
     co_await exchange.Send(MakeNotExecuted(request, 421));
     co_return;
   }
+  ++arrivals_;
   if (request.target() == "/v1/report") {
     const json::object model{{"name", "model"}, {"version", weights_version_}};
     const json::object report{{"busy", loading_},
@@ -285,6 +286,9 @@
       runtime::MakeResponse(static_cast<http::status>(status), std::move(body));
   response.set("Peridotgate-Request-Id", id);
   response.set("Peridotgate-Server-Seal", ServerSeal(id));
+  if (limit_per_s_ > 0) {
+    response.set("Server-Limit", std::to_string(limit_per_s_));
+  }
   if (is_engine()) {
     response.set("Peridotgate-Weight-Versions",
                  std::to_string(weights_version_));
--- a/testing/soak/server_stand_in.h
+++ b/testing/soak/server_stand_in.h
@@ -49,6 +49,11 @@
   /** Announces draining, keeps serving for a while, then restarts. */
   asio::awaitable<void> Drain();
 
+  /** Names this limit in its answers, in requests a second; 0: names none. */
+  void SetLimit(double per_s) { limit_per_s_ = per_s; }
+  /** The requests that reached this server so far. */
+  std::size_t arrivals() const { return arrivals_; }
+
   prove::LinkProxy& proxy() { return proxy_; }
   bool is_engine() const { return service_ == "engines"; }
   std::int64_t weights_version() const { return weights_version_; }
@@ -79,6 +84,8 @@
   bool loading_ = false;
   std::int64_t started_ms_ = 0;
   std::int64_t weights_version_ = 1;
+  double limit_per_s_ = 0;
+  std::size_t arrivals_ = 0;
   std::int64_t order_sequence_ = 0;
   std::int64_t highest_token_ = 0;
   bool draining_ = false;
--- a/testing/soak/soak_faults.cc
+++ b/testing/soak/soak_faults.cc
@@ -40,7 +40,8 @@
       NamedFault{"server_connections_silent",
                  &SoakFaults::SilenceServerConnections},
       NamedFault{"server_leaves", &SoakFaults::DrainServer},
-      NamedFault{"weights_named", &SoakFaults::PublishWeights}};
+      NamedFault{"weights_named", &SoakFaults::PublishWeights},
+      NamedFault{"server_limited", &SoakFaults::LimitServer}};
   return kAll;
 }
 
@@ -211,6 +212,13 @@
   co_await PickServer().Drain();
 }
 
+asio::awaitable<void> SoakFaults::LimitServer() {
+  ServerStandIn& it = PickServer();
+  it.SetLimit(static_cast<double>(1 + random_() % 20));
+  co_await Pause(500, 4000);
+  it.SetLimit(0);
+}
+
 asio::awaitable<void> SoakFaults::PublishWeights() {
   fleet_.PublishWeights(fleet_.weights_version() + 1);
   co_return;
--- a/testing/soak/soak_faults.h
+++ b/testing/soak/soak_faults.h
@@ -46,6 +46,7 @@
   asio::awaitable<void> SilenceServerConnections();
   asio::awaitable<void> DrainServer();
   asio::awaitable<void> PublishWeights();
+  asio::awaitable<void> LimitServer();
 
   /** A random gateway that no other fault has stopped or paused, if any. */
   std::optional<std::size_t> PickFreeGateway();
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -1,9 +1,11 @@
 // Soak test: runs real gateway processes under faults drawn from a seed and
 // checks the guarantees in the platform's documentation from what callers and
 // backend servers observe.
+#include <algorithm>
 #include <cstdio>
 #include <filesystem>
 #include <string>
+#include <vector>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/as_tuple.hpp>
@@ -95,6 +97,7 @@
     }
     co_await CheckServed();
     co_await CheckWeights();
+    co_await CheckLimit();
   }
 
   asio::awaitable<void> CheckServed() {
@@ -119,6 +122,29 @@
     report_.Check("weights_in_place", AllHavePublishedWeights());
   }
 
+  // All gateways together keep to the limit that a server names.
+  asio::awaitable<void> CheckLimit() {
+    constexpr double kPerS = 2;
+    constexpr std::size_t kAllowed = 17;  // 1.5 times the limit in 4 s, and 5.
+    constexpr milliseconds kStep{100};
+    constexpr std::size_t kWindowSteps = 40;
+    constexpr std::size_t kSteps = 60;
+    // The last one takes calls, of which there are the most.
+    ServerStandIn& server = *fleet_.servers().back();
+    server.SetLimit(kPerS);
+    co_await Sleep(kSettleTime);
+    std::vector<std::size_t> arrivals{server.arrivals()};
+    std::size_t most = 0;
+    for (std::size_t i = 1; i <= kSteps; ++i) {
+      co_await Sleep(kStep);
+      arrivals.push_back(server.arrivals());
+      const std::size_t first = i - std::min(i, kWindowSteps);
+      most = std::max(most, arrivals.back() - arrivals[first]);
+    }
+    server.SetLimit(0);
+    report_.Check("limit_kept", most <= kAllowed, std::to_string(most));
+  }
+
   bool AllHavePublishedWeights() {
     for (const auto& it : fleet_.servers()) {
       if (it->is_engine() &&
@@ -149,7 +175,7 @@
   options.work_dir = pattern;
   prove::Report report("gateway_soak");
   for (const char* it : {"only_what_was_asked_runs", "answer_is_whole_and_own",
-                         "rules_in_force", "serves_when_calm"}) {
+                         "rules_in_force", "serves_when_calm", "limit_kept"}) {
     report.Expect(std::string_view(it));
   }
   {
