Name limits as the reason of a refusal only where all servers have one

Cause: a service with one limited server told callers that were refused for other reasons, such as a spent retry budget, to come back after the limited server's turns. Change: room under limits is looked for only if no usable server is without one.

--- a/gateway/include/gateway/load_balancer.h
+++ b/gateway/include/gateway/load_balancer.h
@@ -96,7 +96,7 @@
   std::vector<CacheEvent> events;
 };
 
-/** Room at servers that can't be used now because of the limits they name. */
+/** Room at servers that all name limits. */
 struct LimitedRoom {
   TimePoint at{};            // The earliest at any of them.
   double per_s = 0;          // Requests a second, of all of them.
@@ -151,8 +151,8 @@
   std::optional<TimePoint> AllPausedUntil(std::string_view service,
                                           TimePoint now) const;
 
-  /** Room at the service's servers whose limits are used up now, without those
-   * in `avoided`; nothing if there are none. */
+  /** Room at the service's servers, without those in `avoided`; nothing if one
+   * of them names no limit. */
   std::optional<LimitedRoom> FindLimitedRoom(
       std::string_view service,
       std::span<const std::string> avoided,
--- a/gateway/src/exchange.cc
+++ b/gateway/src/exchange.cc
@@ -335,10 +335,12 @@
   AdmissionGate::Fits fits = [this](TimePoint at) {
     return parts_.balancer.Place(MakePlacementRequest(), at).has_value();
   };
-  wait_end_ =
+  const WaitEnd end =
       co_await parts_.gate.Wait(this, std::move(queued), std::move(fits));
+  wait_end_ = end;
   waited_ms_ += ToMs(Now() - now);
-  co_return wait_end_ != WaitEnd::kFull&& wait_end_ != WaitEnd::kStopping;
+  const bool goes_on = end != WaitEnd::kFull && end != WaitEnd::kStopping;
+  co_return goes_on;
 }
 
 // When the caller should come back if all usable servers name limits: after
--- a/gateway/src/load_balancer.cc
+++ b/gateway/src/load_balancer.cc
@@ -636,9 +636,12 @@
     const auto per_s = impl_->limits.Get(server);
     const bool skipped =
         std::find(avoided.begin(), avoided.end(), server.id) != avoided.end();
-    if (!per_s || skipped || !Impl::Usable(*it) || Impl::Paused(*it, now)) {
+    if (skipped || !Impl::Usable(*it) || Impl::Paused(*it, now)) {
       continue;
     }
+    if (!per_s) {
+      return std::nullopt;
+    }
     const TimePoint at = now + impl_->limits.TimeToRoom(server, now);
     room.at = room.per_s == 0 ? at : std::min(room.at, at);
     room.per_s += *per_s;
--- a/routing/src/server_limits.cc
+++ b/routing/src/server_limits.cc
@@ -13,7 +13,8 @@
 
 using coordination::QuotaKey;
 
-// The ledger counts in whole units, and levels matter below one request.
+// The ledger's buckets are those of servers here, not of organisations. It
+// counts in whole units, and levels matter below one request.
 constexpr double kUnitsPerRequest = 1000;
 // Room that nobody took is kept for one request, or for this time.
 constexpr double kMinBurst = 1;
