--- a/review/stand-ins-2/stand_ins.cc
+++ b/review/stand-ins-2/stand_ins.cc
@@ -259,15 +259,11 @@
   ::shutdown(listener_, SHUT_RDWR);
   acceptor_.join();
   ::close(listener_);
-  {
-    const std::lock_guard lock(mutex_);
-    for (const int fd : open_) {
-      ::shutdown(fd, SHUT_RDWR);
-    }
-  }
-  for (std::thread& it : threads_) {
-    it.join();
+  std::unique_lock lock(mutex_);
+  for (const int fd : open_) {
+    ::shutdown(fd, SHUT_RDWR);
   }
+  closed_.wait(lock, [this] { return open_.empty(); });
 }
 
 void Server::Accept() {
@@ -280,7 +276,7 @@
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     const std::lock_guard lock(mutex_);
     open_.insert(fd);
-    threads_.emplace_back([this, fd] { Serve(fd); });
+    std::thread([this, fd] { Serve(fd); }).detach();
   }
 }
 
@@ -294,8 +290,9 @@
     }
   }
   const std::lock_guard lock(mutex_);
-  open_.erase(fd);
   ::close(fd);
+  open_.erase(fd);
+  closed_.notify_all();
 }
 
 RowStore::RowStore()
--- a/review/stand-ins-2/stand_ins.h
+++ b/review/stand-ins-2/stand_ins.h
@@ -78,8 +78,8 @@
   int listener_ = -1;
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
-  std::set<int> open_;
-  std::vector<std::thread> threads_;
+  std::condition_variable closed_;
+  std::set<int> open_;  // Each is served by a detached thread.
   std::thread acceptor_;
 };
 
