--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -22,7 +22,7 @@
 constexpr int kMinOutdated = 2;
 constexpr Millis kLoad{760};
 constexpr Millis kDown{1000};
-constexpr Millis kLate{12000};
+constexpr Millis kLate{11500};
 constexpr Millis kLateOrdersFor{7000};
 constexpr int kSettleMs = 2000;
 constexpr Millis kRequestPause{40};
