Treat responses whose status code HTTP does not define as malformed

What callers saw: a server's answer with the status 000. A gateway skipped 000 to 099 as interim responses: callers waited for their deadline (504 after 4 s) or got a response that stood in the body; 600 and 999 were sent on, or became "not run" (503). A write to a store that was answered with 000 counted as not carried out.

Cause: Beast's parser accepts any three digits, and nothing between the parser and the code that acts on a head checks the number. HttpClient took interim responses as final, and the entry turned codes that Beast does not know (299, 520) into 0.

Change: runtime::ReadResponseHead reads all heads of responses and fails for codes outside of 100 to 599. HttpClient skips interim responses. The entry ends an attempt with a code that is not final and sends the others unchanged. The raw server of faulty_server_test moved to a header of its own, so that other tests use it.

Why it works: every head of a response passes one function before anything acts on it.

--- a/entry/src/call_answer.cc
+++ b/entry/src/call_answer.cc
@@ -102,9 +102,10 @@
 }
 
 runtime::HttpResponse CallAnswer::MakeHead(const CallHead& head) const {
-  auto response = runtime::MakeResponse(
-      http::int_to_status(static_cast<unsigned>(head.status)), "",
-      head.content_type);
+  auto response =
+      runtime::MakeResponse(http::status::ok, "", head.content_type);
+  // As a number: the enumeration lacks the codes that Beast doesn't know.
+  response.result(static_cast<unsigned>(head.status));
   response.set(std::string(kRequestIdHeader), coordination::ToHex(id_));
   if (head.replayed) {
     response.set("Idempotent-Replayed", "true");
--- a/entry/src/call_relay.cc
+++ b/entry/src/call_relay.cc
@@ -2,6 +2,7 @@
 
 #include "coordination/check.h"
 #include "entry/problem.h"
+#include "runtime/response_head.h"
 
 namespace peridotgate::entry {
 namespace {
@@ -16,6 +17,7 @@
       metrics_(metrics),
       discarded_(metrics.GetCounter("peridotgate_entry_foreign_replies_total")),
       gaps_(metrics.GetCounter("peridotgate_entry_reply_holes_total")),
+      invalid_(metrics.GetCounter("peridotgate_entry_invalid_heads_total")),
       channel_full_(metrics.GetCounter("peridotgate_entry_port_full_total")) {}
 
 // Sends an event to the caller server. False if the channel is full.
@@ -87,6 +89,10 @@
   if (verdict != MessageVerdict::kAccept) {
     return OnRejected(verdict);
   }
+  if (!runtime::IsFinalStatus(head.status)) {
+    invalid_.Add();
+    return AttemptResult::kBroken;
+  }
   if (!state.head_relayed) {
     Post(state, CallHead{head.status, head.content_type, state.active->agent,
                          head.replayed});
--- a/entry/src/call_relay.h
+++ b/entry/src/call_relay.h
@@ -49,6 +49,7 @@
   runtime::Metrics& metrics_;
   runtime::Counter& discarded_;
   runtime::Counter& gaps_;
+  runtime::Counter& invalid_;
   runtime::Counter& channel_full_;
 };
 
--- a/gateway/src/server_connection.cc
+++ b/gateway/src/server_connection.cc
@@ -20,6 +20,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "runtime/response_head.h"
 #include "tcp_options.h"
 
 namespace peridotgate::gateway {
@@ -33,12 +34,10 @@
 
 // Size of one read of a body.
 constexpr std::size_t kReadBytes = 16 << 10;
-constexpr std::uint32_t kMaxHeadBytes = 32 << 10;
+constexpr std::size_t kMaxHeadBytes = 32 << 10;
 // Maximum number of responses to earlier requests that may precede the awaited
 // one.
 constexpr int kMaxUnrelatedResponses = 4;
-// Interim responses (1xx) that may precede a response.
-constexpr int kMaxInterimResponses = 8;
 // Body bytes of unrelated responses that are read to reuse the connection.
 constexpr std::size_t kMaxDiscardedBytes = 1 << 20;
 // Bytes that are buffered until they can be parsed: a head, or the size line of
@@ -234,19 +233,18 @@
   int unrelated = 0;
   int interim = 0;
   while (unrelated <= kMaxUnrelatedResponses &&
-         interim <= kMaxInterimResponses) {
+         interim <= runtime::kMaxInterimResponses) {
     self->parser.emplace();
-    self->parser->header_limit(kMaxHeadBytes);
     self->parser->body_limit(boost::none);
     self->parser->skip(head_request);
-    auto [ec, n] = co_await http::async_read_header(self->stream, self->buf,
-                                                    *self->parser, kNoThrow);
+    const beast::error_code ec = co_await runtime::ReadResponseHead(
+        self->stream, self->buf, *self->parser, kMaxHeadBytes);
     if (ec) {
       co_return self->Translate(ec);
     }
     const ResponseHead& head = self->parser->get().base();
     on_head(head);
-    if (head.result_int() < 200) {
+    if (!runtime::IsFinalStatus(head.result_int())) {
       ++interim;
       continue;
     }
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -20,11 +21,11 @@
 #include <boost/beast/http/write.hpp>
 
 #include "runtime/http.h"
+#include "runtime/response_head.h"
 
 namespace peridotgate::runtime {
 namespace {
 
-namespace beast = boost::beast;
 using asio::ip::tcp;
 using Stream = std::unique_ptr<beast::tcp_stream>;
 
@@ -35,6 +36,30 @@
 // Bytes that are buffered until they can be parsed: a head, or the size line of
 // a chunk with its extensions, or the trailers.
 constexpr std::size_t kMaxBufferedBytes = 64 << 10;
+constexpr std::size_t kMaxHeadBytes = 8 << 10;
+
+template <class Body>
+using Parser = std::optional<http::response_parser<Body>>;
+
+// Reads interim responses and the head of the final one, for whose body it
+// leaves `parser` ready.
+template <class Body>
+asio::awaitable<beast::error_code> ReadFinalHead(
+    beast::tcp_stream& stream,
+    beast::flat_buffer& buf,
+    Parser<Body>& parser,
+    boost::optional<std::uint64_t> max_body_bytes) {
+  for (int i = 0; i <= kMaxInterimResponses; ++i) {
+    parser.emplace();
+    parser->body_limit(max_body_bytes);
+    const beast::error_code ec =
+        co_await ReadResponseHead(stream, buf, *parser, kMaxHeadBytes);
+    if (ec || IsFinalStatus(parser->get().result_int())) {
+      co_return ec;
+    }
+  }
+  co_return http::error::bad_status;
+}
 
 HttpError FromIoError(const beast::error_code& ec) {
   return ec == beast::error::timeout ? HttpError::kTimeout : HttpError::kBroken;
@@ -237,16 +262,20 @@
   }
   auto stream = std::move(sent.value());
   beast::flat_buffer buf(kMaxBufferedBytes);
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(impl_->max_response_bytes);
-  auto [ec, n] = co_await http::async_read(*stream, buf, parser, kNoThrow);
+  Parser<http::string_body> parser;
+  const beast::error_code head =
+      co_await ReadFinalHead(*stream, buf, parser, impl_->max_response_bytes);
+  if (head) {
+    co_return impl_->OnFailure(head);
+  }
+  auto [ec, n] = co_await http::async_read(*stream, buf, *parser, kNoThrow);
   if (ec) {
     co_return impl_->OnFailure(ec);
   }
-  if (parser.get().keep_alive()) {
+  if (parser->get().keep_alive()) {
     impl_->KeepIdle(std::move(stream), buf);
   }
-  co_return parser.release();
+  co_return parser->release();
 }
 
 asio::awaitable<Result<HttpResponse, HttpError>> HttpClient::Fetch(
@@ -260,22 +289,26 @@
   }
   auto stream = std::move(sent.value());
   beast::flat_buffer buf(kMaxBufferedBytes);
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(impl_->max_response_bytes);
-  parser.eager(true);
-  while (!parser.is_done()) {
+  Parser<http::string_body> parser;
+  const beast::error_code head =
+      co_await ReadFinalHead(*stream, buf, parser, impl_->max_response_bytes);
+  if (head) {
+    co_return impl_->OnFailure(head);
+  }
+  parser->eager(true);
+  while (!parser->is_done()) {
+    stream->expires_at(
+        std::min(end, std::chrono::steady_clock::now() + limits.idle));
     auto [ec, n] =
-        co_await http::async_read_some(*stream, buf, parser, kNoThrow);
+        co_await http::async_read_some(*stream, buf, *parser, kNoThrow);
     if (ec) {
       co_return impl_->OnFailure(ec);
     }
-    stream->expires_at(
-        std::min(end, std::chrono::steady_clock::now() + limits.idle));
   }
-  if (parser.get().keep_alive()) {
+  if (parser->get().keep_alive()) {
     impl_->KeepIdle(std::move(stream), buf);
   }
-  co_return parser.release();
+  co_return parser->release();
 }
 
 asio::awaitable<Result<void, HttpError>> HttpClient::Stream(
@@ -289,36 +322,35 @@
   }
   auto stream = std::move(sent.value());
   beast::flat_buffer buf(kMaxBufferedBytes);
-  http::response_parser<http::buffer_body> parser;
-  parser.body_limit(boost::none);
-  auto [head, m] =
-      co_await http::async_read_header(*stream, buf, parser, kNoThrow);
+  Parser<http::buffer_body> parser;
+  const beast::error_code head =
+      co_await ReadFinalHead(*stream, buf, parser, boost::none);
   if (head) {
     co_return FromIoError(head);
   }
-  sink.OnHead(parser.get().result_int(),
-              parser.get()[http::field::content_type]);
+  sink.OnHead(parser->get().result_int(),
+              parser->get()[http::field::content_type]);
   stream->expires_never();
   const auto idle_timeout = std::make_shared<IdleTimeout>(impl_->context, idle);
   const IdleTimeoutScope idle_scope(idle_timeout, *stream);
   std::vector<char> chunk(kReadBytes);
-  while (!parser.is_done()) {
-    parser.get().body().data = chunk.data();
-    parser.get().body().size = chunk.size();
+  while (!parser->is_done()) {
+    parser->get().body().data = chunk.data();
+    parser->get().body().size = chunk.size();
     idle_timeout->BeginRead();
     auto [ec, k] =
-        co_await http::async_read_some(*stream, buf, parser, kNoThrow);
+        co_await http::async_read_some(*stream, buf, *parser, kNoThrow);
     idle_timeout->EndRead();
     if (ec && ec != http::error::need_buffer) {
       co_return idle_timeout->expired() ? HttpError::kTimeout : FromIoError(ec);
     }
-    const std::size_t size = chunk.size() - parser.get().body().size;
+    const std::size_t size = chunk.size() - parser->get().body().size;
     if (size > 0 && !co_await sink.OnData({chunk.data(), size})) {
       co_return HttpError::kStoppedBySink;
     }
   }
   idle_scope.Stop();
-  if (parser.get().keep_alive()) {
+  if (parser->get().keep_alive()) {
     impl_->KeepIdle(std::move(stream), buf);
   }
   co_return coordination::outcome::success();
--- a/runtime/tests/error/faulty_server_test.cc
+++ b/runtime/tests/error/faulty_server_test.cc
@@ -1,10 +1,6 @@
 // A server that writes an answer once more on a kept connection, or sends its
 // answer slowly.
-#include <array>
-#include <atomic>
 #include <chrono>
-#include <functional>
-#include <list>
 #include <optional>
 #include <string>
 #include <thread>
@@ -13,8 +9,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 
+#include "../raw_server.h"
 #include "runtime/http.h"
 
 namespace peridotgate::runtime {
@@ -29,65 +25,6 @@
          "\r\n\r\n" + body;
 }
 
-// Serves each connection on a thread of its own.
-class Server {
- public:
-  using Serve = std::function<void(tcp::socket& socket, int request)>;
-
-  explicit Server(Serve serve)
-      : serve_(std::move(serve)),
-        acceptor_(context_, {asio::ip::address_v4::loopback(), 0}),
-        port_(acceptor_.local_endpoint().port()),
-        thread_([this] { Accept(); }) {}
-  ~Server() {
-    stopping_ = true;
-    asio::io_context context;
-    tcp::socket last(context);
-    boost::system::error_code ignored;
-    last.connect({asio::ip::address_v4::loopback(), port_}, ignored);
-    thread_.join();
-    for (std::thread& it : connections_) {
-      it.join();
-    }
-  }
-  Server(const Server&) = delete;
-  Server& operator=(const Server&) = delete;
-
-  Endpoint endpoint() const { return {"127.0.0.1", port_}; }
-
- private:
-  void Accept() {
-    while (true) {
-      tcp::socket socket(context_);
-      acceptor_.accept(socket);
-      if (stopping_) {
-        return;
-      }
-      connections_.emplace_back([this, socket = std::move(socket)]() mutable {
-        std::array<char, 4096> buf{};
-        boost::system::error_code ec;
-        while (socket.read_some(asio::buffer(buf), ec) > 0 && !ec) {
-          serve_(socket, ++requests_);
-        }
-      });
-    }
-  }
-
-  Serve serve_;
-  std::atomic<int> requests_{0};
-  std::atomic<bool> stopping_{false};
-  asio::io_context context_;
-  tcp::acceptor acceptor_;
-  std::uint16_t port_;
-  std::list<std::thread> connections_;
-  std::thread thread_;
-};
-
-void Write(tcp::socket& socket, std::string_view bytes) {
-  boost::system::error_code ignored;
-  asio::write(socket, asio::buffer(bytes), ignored);
-}
-
 Result<HttpResponse, HttpError> Fetch(HttpClient& client,
                                       asio::io_context& context,
                                       TransferLimits limits) {
@@ -107,14 +44,14 @@
 TEST(HttpClient, ACopyOfAnAnswerOnAKeptConnectionAnswersNoOtherRequest) {
   for (const milliseconds after : {milliseconds(0), milliseconds(20)}) {
     SCOPED_TRACE(after.count());
-    Server server([&](tcp::socket& socket, int request) {
+    RawServer server([&](tcp::socket& socket, int request) {
       if (after.count() == 0) {
-        Write(socket, Answer(request) + Answer(request));
+        WriteRaw(socket, Answer(request) + Answer(request));
         return;
       }
-      Write(socket, Answer(request));
+      WriteRaw(socket, Answer(request));
       std::this_thread::sleep_for(after);
-      Write(socket, Answer(request));
+      WriteRaw(socket, Answer(request));
     });
     asio::io_context context;
     HttpClient client(context, server.endpoint());
@@ -131,8 +68,8 @@
 TEST(HttpClient, AnAnswerCutInItsHeadIsNoAnswer) {
   const std::string answer = Answer(1);
   for (std::size_t cut = 1; cut < answer.find("\r\n\r\n") + 4; ++cut) {
-    Server server([&](tcp::socket& socket, int /*request*/) {
-      Write(socket, answer.substr(0, cut));
+    RawServer server([&](tcp::socket& socket, int /*request*/) {
+      WriteRaw(socket, answer.substr(0, cut));
       boost::system::error_code ignored;
       socket.shutdown(tcp::socket::shutdown_both, ignored);
     });
@@ -148,11 +85,11 @@
                               milliseconds(2000)};
   {
     SCOPED_TRACE("a piece each 50 ms, 500 ms in all");
-    Server server([](tcp::socket& socket, int /*request*/) {
-      Write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+    RawServer server([](tcp::socket& socket, int /*request*/) {
+      WriteRaw(socket, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
       for (int i = 0; i < 10; ++i) {
         std::this_thread::sleep_for(milliseconds(50));
-        Write(socket, "x");
+        WriteRaw(socket, "x");
       }
     });
     asio::io_context context;
@@ -163,8 +100,8 @@
   }
   {
     SCOPED_TRACE("stalls");
-    Server server([](tcp::socket& socket, int /*request*/) {
-      Write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nx");
+    RawServer server([](tcp::socket& socket, int /*request*/) {
+      WriteRaw(socket, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nx");
     });
     asio::io_context context;
     HttpClient client(context, server.endpoint());
@@ -174,11 +111,11 @@
   }
   {
     SCOPED_TRACE("progress without end");
-    Server server([](tcp::socket& socket, int /*request*/) {
-      Write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n");
+    RawServer server([](tcp::socket& socket, int /*request*/) {
+      WriteRaw(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n");
       for (int i = 0; i < 60; ++i) {
         std::this_thread::sleep_for(milliseconds(50));
-        Write(socket, "x");
+        WriteRaw(socket, "x");
       }
     });
     asio::io_context context;
