Reject responses with a line that begins with a blank

What callers saw: a field whose name began with a blank or tab was sent on as part of the field before it ("X-First: a X-Other: b"), and a Transfer-Encoding written so did not count: the body reached the caller with the chunk sizes in it, or never ended.

Cause: Beast's parser still unfolds header lines, which HTTP/1.1 has deprecated, and nobody after it can see that. All other blanks and control bytes in names are rejected by the parser on all paths; nothing was changed for them.

Change: runtime::ReadResponseHead rejects a head with such a line before anything acts on it.

Why it works: the check sees the bytes of every head as they came, for every client.

--- a/agent/tests/error/invalid_response_test.cc
+++ b/agent/tests/error/invalid_response_test.cc
@@ -63,6 +63,16 @@
   }
 }
 
+TEST(InvalidEngineResponse, HasABlankOrAControlByteInAFieldName) {
+  for (const std::string name : {" X-Other", "X Other", "X-Other ", "\tX-Other",
+                                 "X-\x01Other", "X-Other\x7f"}) {
+    for (const std::string type : {"application/json", "text/event-stream"}) {
+      const std::string field = "\r\n" + name + ": b";
+      ExpectFailure(Response("200 OK", type + field));
+    }
+  }
+}
+
 TEST(InvalidEngineResponse, IsNotOneWithAnUnknownStatusOrAfterInterimOnes) {
   const std::string interim =
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n";
--- a/runtime/src/response_head.cc
+++ b/runtime/src/response_head.cc
@@ -20,13 +20,25 @@
   return {static_cast<const char*>(buf.data().data()), buf.size()};
 }
 
-// Checks what the parser accepts in `head`, although HTTP does not define it.
+// Whether a line begins with a blank. The parser adds such a line to the value
+// of the field before it (line folding, which HTTP/1.1 has deprecated). It may
+// as well be a field of its own whose name begins with a blank, so that the
+// framing of the body is not certain.
+bool HasFoldedLine(std::string_view head) {
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
+// Rejects heads that the parser accepts, but that have no certain meaning.
 beast::error_code CheckHead(std::string_view head) {
   constexpr std::size_t kStatusAt = std::string_view("HTTP/1.1 ").size();
   const char status_class = head[kStatusAt];
   if (status_class < '1' || status_class > '5') {
     return http::error::bad_status;
   }
+  if (HasFoldedLine(head)) {
+    return http::error::bad_obs_fold;
+  }
   return {};
 }
 
--- a/runtime/tests/error/invalid_response_test.cc
+++ b/runtime/tests/error/invalid_response_test.cc
@@ -158,5 +158,37 @@
   ExpectInvalid(response + Response("200 OK", ""));
 }
 
+TEST(InvalidResponse, HasABlankOrAControlByteInAFieldName) {
+  const std::string name = "X-Other";
+  for (int byte = 0; byte < 256; ++byte) {
+    if (byte > ' ' && byte < 0x7f) {
+      continue;
+    }
+    for (const std::size_t at : {std::size_t{0}, std::size_t{1}, name.size()}) {
+      std::string spelling = name;
+      spelling.insert(at, 1, static_cast<char>(byte));
+      for (const std::string before : {"", "X-First: a\r\n"}) {
+        ExpectInvalid(Response("200 OK", before + spelling + ": b\r\n"));
+      }
+    }
+  }
+}
+
+TEST(InvalidResponse, HasABlankBeforeTheFieldThatFramesItsBody) {
+  for (const std::string field :
+       {" Content-Length: 4", "\tContent-Length: 4",
+        " Transfer-Encoding: chunked", "\tTransfer-Encoding: chunked"}) {
+    ExpectInvalid("HTTP/1.1 200 OK\r\nX-First: a\r\n" + field +
+                  "\r\nConnection: close\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+  }
+}
+
+TEST(InvalidResponse, IsNotOneWithUnusualFields) {
+  ExpectValid(Response("200 OK",
+                       "x!#$%&'*+-.^_`|~9: b\r\nX-Tight:b\r\n"
+                       "X-Wide:\t b \t\r\nX-Empty:\r\nX-Text: \xc3\xa9\r\n"),
+              200);
+}
+
 }  // namespace
 }  // namespace peridotgate::runtime
