Notice a reset that a write has found when a response has no length

What callers saw: a server answered a long upload at once, without a length, sent a part of its body and reset the connection. Gateways sent the part on as a complete answer, on every kind of route, also with Connection: close and after a failure status.

Cause: the system reports a reset to the first call that fails on the socket, and to no other. With a write and a read under way the event loop serves the write first; the read then finds the end of the stream, which completes a response without a length. The write only noted that the connection can't be kept.

Change: all writes of a server connection go through one function, which keeps the error. A response without a length whose connection ends after a write found a reset is broken. EPIPE is no reset: it follows an end that the server sent first. A first write that fails is not repeated, as the second try would see EPIPE.

Why it works: the error is recorded by the call that takes it, before any read can find the end of the stream that it leaves.

--- a/agent/tests/error/invalid_response_test.cc
+++ b/agent/tests/error/invalid_response_test.cc
@@ -1,15 +1,19 @@
-// Responses of an engine that HTTP does not allow: the call fails, and nothing
-// of them goes on to an entry.
+// Responses of an engine that HTTP does not allow, or that are cut off: the
+// call fails.
 #include <string>
+#include <utility>
 
 #include <gtest/gtest.h>
+#include <boost/asio/socket_base.hpp>
 
+#include "../../../runtime/tests/raw_server.h"
 #include "../driven_call.h"
 #include "standins/scripted_server.h"
 
 namespace peridotgate::agent {
 namespace {
 
+namespace asio = boost::asio;
 using standins::ScriptedAnswer;
 using standins::ScriptedServer;
 
@@ -85,5 +89,32 @@
   }
 }
 
+TEST(CutOffEngineResponse, HasNoLengthAndIsResetDuringTheUpload) {
+  for (const std::string type : {"application/json", "text/event-stream"}) {
+    for (const std::string status : {"200 OK", "500 Error"}) {
+      for (const std::size_t upload : {std::size_t{2}, std::size_t{8} << 20}) {
+        SCOPED_TRACE(type);
+        SCOPED_TRACE(status);
+        runtime::RawServer server(
+            [&](runtime::RawServer::tcp::socket& socket, int /*request*/) {
+              std::string response = "HTTP/1.1 " + status;
+              response += "\r\nContent-Type: " + type;
+              runtime::WriteRaw(socket, response + "\r\n\r\ndata: a\n\n");
+              boost::system::error_code ignored;
+              socket.set_option(asio::socket_base::linger(true, 0), ignored);
+              socket.close(ignored);
+            });
+        wire::Dispatch dispatch = MakeDispatch(false);
+        dispatch.body = std::string(upload, 'u');
+        const DrivenCall call =
+            DriveCall(server.endpoint().port, std::move(dispatch));
+        EXPECT_FALSE(call.ended);
+        ASSERT_TRUE(call.failure);
+        EXPECT_TRUE(call.failure->handed_over);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace peridotgate::agent
--- a/gateway/src/server_connection.cc
+++ b/gateway/src/server_connection.cc
@@ -11,8 +11,9 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -96,11 +97,13 @@
   const ServerProtocol& protocol;
   beast::flat_buffer buf{kMaxBufferedBytes};
   std::optional<Parser> parser;
-  // What is being sent.
+  // What is being sent, and the part of it that is left.
   std::string outgoing_head;
   std::shared_ptr<const HeldBody> outgoing_body;
+  beast::buffers_suffix<std::array<asio::const_buffer, 2>> unsent;
   std::array<char, kReadBytes> piece;
   bool sending = false;
+  bool reset = false;  // A write found that the connection was reset.
   std::optional<ServerError> cancelled;  // Why.
   bool can_reuse = false;  // The last response ended cleanly with keep-alive.
   TimePoint idle_since{};
@@ -133,6 +136,43 @@
     stream.socket().close(ignored);
   }
 
+  // Writes what the socket takes, and goes on in another turn of the event
+  // loop. The system reports a reset to one call only: if that is a write,
+  // later reads see an end of the stream instead. After such an end, writes
+  // fail with EPIPE.
+  void Write() {
+    beast::error_code ec;
+    unsent.consume(stream.socket().write_some(unsent, ec));
+    const bool full = ec == asio::error::would_block;
+    if (full || (!ec && beast::buffer_bytes(unsent) > 0)) {
+      WriteLater(full);
+      return;
+    }
+    reset = ec && ec != asio::error::broken_pipe;
+    sending = ec.failed();
+    outgoing_body.reset();
+  }
+
+  void WriteLater(bool full) {
+    auto& socket = stream.socket();
+    if (!full) {
+      asio::post(socket.get_executor(),
+                 [self = shared_from_this()] { self->Write(); });
+      return;
+    }
+    socket.async_wait(tcp::socket::wait_write,
+                      [self = shared_from_this()](beast::error_code ec) {
+                        if (ec) {
+                          self->outgoing_body.reset();
+                        } else {
+                          self->Write();
+                        }
+                      });
+  }
+
+  // Whether the response has no length and was cut off by a reset.
+  bool IsCutOff() const { return reset && parser->need_eof(); }
+
   // While data keeps arriving, reads complete before the stream's timer is
   // served, so the deadline is checked for each read as well.
   bool Expired(TimePoint deadline) const { return clock.Now() >= deadline; }
@@ -199,28 +239,15 @@
 
 void ServerConnection::Send(std::string head,
                             std::shared_ptr<const HeldBody> body) {
-  using Buffers = std::array<asio::const_buffer, 2>;
-  auto self = impl_;
-  self->can_reuse = false;
-  self->sending = true;
-  self->outgoing_head = std::move(head);
-  self->outgoing_body = std::move(body);
-  beast::buffers_suffix<Buffers> rest(
-      Buffers{asio::buffer(self->outgoing_head),
-              asio::buffer(self->outgoing_body->bytes)});
-  beast::error_code ec;
-  const std::size_t taken = self->stream.socket().write_some(rest, ec);
-  rest.consume(ec ? 0 : taken);
-  if (!ec && beast::buffer_bytes(rest) == 0) {
-    self->sending = false;
-    self->outgoing_body.reset();
-    return;
-  }
-  asio::async_write(self->stream.socket(), rest,
-                    [self](beast::error_code failed, std::size_t /*n*/) {
-                      self->sending = static_cast<bool>(failed);
-                      self->outgoing_body.reset();
-                    });
+  Impl& it = *impl_;
+  it.can_reuse = false;
+  it.sending = true;
+  it.outgoing_head = std::move(head);
+  it.outgoing_body = std::move(body);
+  const std::array<asio::const_buffer, 2> buffers{
+      asio::buffer(it.outgoing_head), asio::buffer(it.outgoing_body->bytes)};
+  it.unsent = beast::buffers_suffix(buffers);
+  it.Write();
 }
 
 asio::awaitable<Result<ResponseHead, ServerError>> ServerConnection::ReadHead(
@@ -281,6 +308,9 @@
     piece.bytes.assign(self->piece.data(), self->piece.size() - body.size);
   }
   piece.last = self->parser->is_done();
+  if (piece.last && self->IsCutOff()) {
+    co_return ServerError::kBroken;
+  }
   if (piece.last) {
     self->FinishResponse();
   }
--- a/runtime/tests/error/invalid_response_test.cc
+++ b/runtime/tests/error/invalid_response_test.cc
@@ -3,11 +3,12 @@
 #include <chrono>
 #include <optional>
 #include <string>
-#include <vector>
+#include <utility>
 
 #include <gtest/gtest.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/socket_base.hpp>
 
 #include "../raw_server.h"
 #include "runtime/http.h"
@@ -48,8 +49,9 @@
 
 asio::awaitable<void> ReadResponse(HttpClient& client,
                                    Reading reading,
+                                   const std::string& upload,
                                    Received& received) {
-  auto request = MakeRequest(http::verb::get, "/");
+  auto request = MakeRequest(http::verb::post, "/", upload);
   if (reading == Reading::kStreamed) {
     RecordingSink sink(received);
     auto streamed = co_await client.Stream(std::move(request), sink, kTimeout,
@@ -71,17 +73,20 @@
   }
 }
 
-// A client of a server that writes `response` to each request.
-class InvalidResponse {
+// A client of a server on raw sockets.
+class RawClient {
  public:
-  explicit InvalidResponse(const std::string& response)
-      : server_([response](RawServer::tcp::socket& socket, int /*request*/) {
+  explicit RawClient(RawServer::Serve serve) : server_(std::move(serve)) {}
+
+  /** The server writes `response` to each request. */
+  explicit RawClient(const std::string& response)
+      : RawClient([response](RawServer::tcp::socket& socket, int /*request*/) {
           WriteRaw(socket, response);
         }) {}
 
-  Received Read(Reading reading) {
+  Received Read(Reading reading, const std::string& upload = "") {
     Received received;
-    asio::co_spawn(context_, ReadResponse(client_, reading, received),
+    asio::co_spawn(context_, ReadResponse(client_, reading, upload, received),
                    asio::detached);
     context_.restart();
     context_.run();
@@ -104,7 +109,7 @@
 void ExpectInvalid(const std::string& response) {
   for (const Reading reading : kReadings) {
     SCOPED_TRACE(response + std::to_string(static_cast<int>(reading)));
-    InvalidResponse client(response);
+    RawClient client(response);
     for (int i = 1; i <= 2; ++i) {
       const Received received = client.Read(reading);
       EXPECT_FALSE(received.complete);
@@ -118,7 +123,7 @@
 void ExpectValid(const std::string& response, unsigned status) {
   for (const Reading reading : kReadings) {
     SCOPED_TRACE(response + std::to_string(static_cast<int>(reading)));
-    InvalidResponse client(response);
+    RawClient client(response);
     for (int i = 1; i <= 2; ++i) {
       const Received received = client.Read(reading);
       EXPECT_TRUE(received.complete);
@@ -190,5 +195,46 @@
               200);
 }
 
+// The client sends all of a request before it reads, so that a write that finds
+// the reset ends the exchange.
+TEST(CutOffResponse, HasNoLengthAndIsResetDuringTheUpload) {
+  const std::string upload(8 << 20, 'u');
+  for (const std::string head : {"HTTP/1.1 200 OK\r\n\r\n",
+                                 "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+                                 "HTTP/1.1 500 Error\r\n\r\n"}) {
+    for (const Reading reading : kReadings) {
+      for (const std::string& sent : {std::string(), upload}) {
+        SCOPED_TRACE(head + std::to_string(sent.size()));
+        RawClient client([&](RawServer::tcp::socket& socket, int /*request*/) {
+          WriteRaw(socket, head + "part");
+          boost::system::error_code ignored;
+          socket.set_option(asio::socket_base::linger(true, 0), ignored);
+          socket.close(ignored);
+        });
+        EXPECT_FALSE(client.Read(reading, sent).complete);
+      }
+    }
+  }
+}
+
+TEST(CutOffResponse, IsNotOneWhoseConnectionEnds) {
+  const std::string upload(1 << 20, 'u');
+  for (const Reading reading : kReadings) {
+    for (const std::string& sent : {std::string(), upload}) {
+      SCOPED_TRACE(sent.size());
+      RawClient client([&](RawServer::tcp::socket& socket, int request) {
+        if (request == 1) {
+          WriteRaw(socket, "HTTP/1.1 200 OK\r\n\r\nbody");
+          boost::system::error_code ignored;
+          socket.shutdown(RawServer::tcp::socket::shutdown_send, ignored);
+        }
+      });
+      const Received received = client.Read(reading, sent);
+      EXPECT_TRUE(received.complete);
+      EXPECT_EQ(received.body, "body");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace peridotgate::runtime
