--- a/review/stand-ins-3/fleet.h
+++ b/review/stand-ins-3/fleet.h
@@ -41,7 +41,7 @@
   RowStore& store() { return store_; }
   Gateways& gateways() { return gateways_; }
   std::vector<std::unique_ptr<Replica>>& engines() { return engines_; }
-  std::vector<std::unique_ptr<Replica>>& plain() { return plain_; }
+  const std::vector<std::unique_ptr<Replica>>& plain() const { return plain_; }
 
   /** Starts all gateways; false if they don't get ready. */
   bool Start();
