--- a/review/stand-ins-3/gateways.cc
+++ b/review/stand-ins-3/gateways.cc
@@ -3,9 +3,11 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 
@@ -14,6 +16,8 @@
 
 constexpr const char* kProgram = "target/operate/peridotgate";
 constexpr int kFirstHost = 31;
+// `max_fds` of the sheet.
+constexpr rlim_t kDescriptors = 4100;
 
 }  // namespace
 
@@ -77,6 +81,10 @@
   const pid_t pid = ::fork();
   if (pid == 0) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    rlimit descriptors{};
+    ::getrlimit(RLIMIT_NOFILE, &descriptors);
+    descriptors.rlim_cur = std::min<rlim_t>(kDescriptors, descriptors.rlim_max);
+    ::setrlimit(RLIMIT_NOFILE, &descriptors);
     const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(fd, STDOUT_FILENO);
     ::dup2(fd, STDERR_FILENO);
