--- a/review/stand-ins-3/fleet.cc
+++ b/review/stand-ins-3/fleet.cc
@@ -38,7 +38,8 @@
     constexpr int kEngineSlots = 64;
     engines_.push_back(std::make_unique<Replica>(
         "127.0.0.1", "i-engine-" + std::to_string(i),
-        ReplicaOptions{"loom", zones[i % zones.size()], kModel, kEngineSlots},
+        ReplicaOptions{"loom", zones[i % zones.size()], kModel, kEngineSlots,
+                       options.in_pieces, options.empty_in_chunks},
         store_, record));
   }
   for (std::size_t i = 0; i < options.plain; ++i) {
--- a/review/stand-ins-3/fleet.h
+++ b/review/stand-ins-3/fleet.h
@@ -31,7 +31,9 @@
 struct FleetOptions {
   std::size_t engines = 3;
   std::size_t plain = 3;
+  // As in `ReplicaOptions`.
   bool in_pieces = false;
+  bool empty_in_chunks = false;
 };
 
 /** A small deployment: one gateway in each of three zones. */
--- a/review/stand-ins-3/replica.cc
+++ b/review/stand-ins-3/replica.cc
@@ -115,7 +115,11 @@
     return peer.Send(Report());
   }
   if (request.target == "/v1/order") {
-    return peer.Send(TakeOrder(request));
+    const Response taken = TakeOrder(request);
+    constexpr unsigned kAccepted = 202;
+    return taken.status == kAccepted && options_.empty_in_chunks
+               ? SendEmpty(peer, "HTTP/1.1 202 Accepted\r\n")
+               : peer.Send(taken);
   }
   if (request.target == "/health") {
     response.status = 200;
@@ -133,7 +137,9 @@
       kLeastWork +
       Millis(static_cast<int>(std::hash<std::string>()(id) % kWorkSpreadMs)));
   if (request.target.starts_with("/look/empty")) {
-    return AnswerEmpty(peer, id);
+    return SendEmpty(peer, "HTTP/1.1 200 OK\r\nPeridotgate-Request-Id: " + id +
+                               "\r\nPeridotgate-Server-Seal: seal." + id +
+                               "\r\n");
   }
   response.status = 200;
   response.headers["Peridotgate-Request-Id"] = id;
@@ -144,16 +150,14 @@
   return peer.Send(response);
 }
 
-// An empty answer in chunks; its last bytes may take some milliseconds.
-bool Replica::AnswerEmpty(const Peer& peer, const std::string& id) const {
+// An empty body in chunks; its last bytes may take some milliseconds.
+bool Replica::SendEmpty(const Peer& peer, const std::string& head) const {
   constexpr Millis kPause{10};
-  const std::string head = "HTTP/1.1 200 OK\r\nPeridotgate-Request-Id: " + id +
-                           "\r\nPeridotgate-Server-Seal: seal." + id +
-                           "\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string framed = head + "Transfer-Encoding: chunked\r\n\r\n";
   if (!options_.in_pieces) {
-    return peer.Write(head + "0\r\n\r\n");
+    return peer.Write(framed + "0\r\n\r\n");
   }
-  bool open = peer.Write(head);
+  bool open = peer.Write(framed);
   for (const char* piece : {"0\r\n", "\r", "\n"}) {
     std::this_thread::sleep_for(kPause);
     open = open && peer.Write(piece);
--- a/review/stand-ins-3/replica.h
+++ b/review/stand-ins-3/replica.h
@@ -39,6 +39,8 @@
   int slots = 6;
   // Whether the end of an answer in chunks arrives in several segments.
   bool in_pieces = false;
+  // Whether accepted orders are answered with an empty body in chunks.
+  bool empty_in_chunks = false;
 };
 
 class Replica {
@@ -63,7 +65,7 @@
 
  private:
   bool Handle(const Request& request, Peer& peer);
-  bool AnswerEmpty(const Peer& peer, const std::string& id) const;
+  bool SendEmpty(const Peer& peer, const std::string& head) const;
   Response TakeOrder(const Request& request);
   Response Report();
   void FinishLoading();
