--- a/review/stand-ins-3/row_store.cc
+++ b/review/stand-ins-3/row_store.cc
@@ -80,6 +80,28 @@
   return version_;
 }
 
+void RowStore::SetBusy(bool busy, bool in_pieces) {
+  const std::scoped_lock lock(mutex_);
+  busy_ = busy;
+  busy_in_pieces_ = in_pieces;
+  record_.Line(busy ? "store: answers 503" : "store: answers again");
+}
+
+bool RowStore::SendBusy(const Peer& peer, bool in_pieces) {
+  constexpr Millis kPause{10};
+  const std::string head =
+      "HTTP/1.1 503 Service Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n";
+  if (!in_pieces) {
+    return peer.Write(head + "0\r\n\r\n");
+  }
+  bool open = peer.Write(head);
+  for (const char* piece : {"0\r\n", "\r", "\n"}) {
+    std::this_thread::sleep_for(kPause);
+    open = open && peer.Write(piece);
+  }
+  return open;
+}
+
 void RowStore::GoAway() {
   {
     const std::scoped_lock lock(mutex_);
@@ -126,11 +148,16 @@
     std::this_thread::sleep_for(kTransactionTime);
   }
   Response response;
+  bool busy = false;
   {
     const std::scoped_lock lock(mutex_);
     if (away_) {
       return false;
     }
+    busy = busy_;
+  }
+  if (busy) {
+    return SendBusy(peer, busy_in_pieces_);
   }
   if (target == "/v1/rows-tx") {
     response = Transact(request.body);
--- a/review/stand-ins-3/row_store.h
+++ b/review/stand-ins-3/row_store.h
@@ -32,6 +32,9 @@
                    const std::string& key,
                    const json::object& value);
 
+  /** Whether each call gets a 503, in chunks without a body, whose last bytes
+   * may arrive in several segments. */
+  void SetBusy(bool busy, bool in_pieces);
   /** From now on no call is answered: each connection is reset. */
   void GoAway();
   /** Comes back with the rows and versions of the time `copied`. `rewrite` then
@@ -53,6 +56,7 @@
   using Table = std::map<std::string, Row>;
 
   bool Handle(const Request& request, Peer& peer);
+  static bool SendBusy(const Peer& peer, bool in_pieces);
   Response Transact(const std::string& body);
   Response Get(const std::string& target);
   Response Feed(const std::string& target);
@@ -70,6 +74,8 @@
   std::int64_t version_ = 0;
   std::int64_t era_ = 1;
   bool away_ = false;
+  bool busy_ = false;
+  bool busy_in_pieces_ = false;
   bool rewriting_ = false;
   Server server_;
 };
