--- a/review/stand-ins-3/row_store.cc
+++ b/review/stand-ins-3/row_store.cc
@@ -154,7 +154,7 @@
     if (away_) {
       return false;
     }
-    busy = busy_;
+    busy = busy_ && QueryValue(target, "table") == "servers";
   }
   if (busy) {
     return SendBusy(peer, busy_in_pieces_);
--- a/review/stand-ins-3/row_store.h
+++ b/review/stand-ins-3/row_store.h
@@ -32,8 +32,9 @@
                    const std::string& key,
                    const json::object& value);
 
-  /** Whether each call gets a 503, in chunks without a body, whose last bytes
-   * may arrive in several segments. */
+  /** Whether each call for the table of servers, one of four tables in use,
+   * gets a 503, in chunks without a body, whose last bytes may arrive in
+   * several segments. */
   void SetBusy(bool busy, bool in_pieces);
   /** From now on no call is answered: each connection is reset. */
   void GoAway();
