Give the parser of responses only complete framing of chunks

Cause: Beast's parser asserts that five bytes are there when it continues after the size line of the last chunk; after an empty body there may be four. HttpClient gave it whatever had arrived.

Change: BodyReader gives the parser data of chunks, complete size lines, and the last chunk with its trailers, and reads more until one is complete. Whether a connection goes on is asked of the parser, which knows of bodies that end with their connection.

Evidence: SplitResponse.IsCompleteHoweverItsBodyArrives/0 ended with the assertion (basic_parser.ipp:702) on; now 9 of 9 pass, with each body whole, cut at every byte, malformed, and split at every two bytes, for the three ways to read.

--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -17,9 +17,9 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "runtime/body_reader.h"
 #include "runtime/http.h"
 #include "runtime/response_head.h"
 
@@ -268,11 +268,14 @@
   if (head) {
     co_return impl_->OnFailure(head);
   }
-  auto [ec, n] = co_await http::async_read(*stream, buf, *parser, kNoThrow);
-  if (ec) {
-    co_return impl_->OnFailure(ec);
+  ResponseBodyReader body(*stream, buf);
+  while (!parser->is_done()) {
+    const beast::error_code ec = co_await body.ReadSome(*parser);
+    if (ec) {
+      co_return impl_->OnFailure(ec);
+    }
   }
-  if (parser->get().keep_alive()) {
+  if (parser->keep_alive()) {
     impl_->KeepIdle(std::move(stream), buf);
   }
   co_return parser->release();
@@ -295,17 +298,16 @@
   if (head) {
     co_return impl_->OnFailure(head);
   }
-  parser->eager(true);
+  ResponseBodyReader body(*stream, buf);
   while (!parser->is_done()) {
     stream->expires_at(
         std::min(end, std::chrono::steady_clock::now() + limits.idle));
-    auto [ec, n] =
-        co_await http::async_read_some(*stream, buf, *parser, kNoThrow);
+    const beast::error_code ec = co_await body.ReadSome(*parser);
     if (ec) {
       co_return impl_->OnFailure(ec);
     }
   }
-  if (parser->get().keep_alive()) {
+  if (parser->keep_alive()) {
     impl_->KeepIdle(std::move(stream), buf);
   }
   co_return parser->release();
@@ -333,13 +335,13 @@
   stream->expires_never();
   const auto idle_timeout = std::make_shared<IdleTimeout>(impl_->context, idle);
   const IdleTimeoutScope idle_scope(idle_timeout, *stream);
+  ResponseBodyReader body(*stream, buf);
   std::vector<char> chunk(kReadBytes);
   while (!parser->is_done()) {
     parser->get().body().data = chunk.data();
     parser->get().body().size = chunk.size();
     idle_timeout->BeginRead();
-    auto [ec, k] =
-        co_await http::async_read_some(*stream, buf, *parser, kNoThrow);
+    const beast::error_code ec = co_await body.ReadSome(*parser);
     idle_timeout->EndRead();
     if (ec && ec != http::error::need_buffer) {
       co_return idle_timeout->expired() ? HttpError::kTimeout : FromIoError(ec);
@@ -350,7 +352,7 @@
     }
   }
   idle_scope.Stop();
-  if (parser->get().keep_alive()) {
+  if (parser->keep_alive()) {
     impl_->KeepIdle(std::move(stream), buf);
   }
   co_return coordination::outcome::success();
--- /dev/null
+++ b/runtime/tests/fuzz/body_fuzzer.cc
@@ -0,0 +1,4 @@
+#include "body_target.h"
+#include "fuzz/fuzzer.h"
+
+PG_FUZZER(peridotgate::runtime::BodyTarget)
--- /dev/null
+++ b/runtime/tests/fuzz/targets_test.cc
@@ -0,0 +1,20 @@
+// Runs the fuzz targets on a fixed, reproducible sequence of inputs.
+#include <gtest/gtest.h>
+
+#include "body_target.h"
+#include "fuzz/mutations.h"
+#include "response_target.h"
+
+namespace peridotgate::runtime {
+namespace {
+
+TEST(Fuzz, BodiesInPieces) {
+  fuzz::RunMutations<BodyTarget>();
+}
+
+TEST(Fuzz, ResponsesInPieces) {
+  fuzz::RunMutations<ResponseTarget>();
+}
+
+}  // namespace
+}  // namespace peridotgate::runtime
