Read bodies of servers' responses with BodyReader

Change: both read with BodyReader. An answer to another request that ends with its connection now fails the exchange at once: it was taken for one that keeps the connection, and the request waited for its deadline.

--- a/gateway/src/server_connection.cc
+++ b/gateway/src/server_connection.cc
@@ -19,8 +19,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
+#include "runtime/body_reader.h"
 #include "runtime/response_head.h"
 #include "tcp_options.h"
 
@@ -97,6 +97,7 @@
   const ServerProtocol& protocol;
   beast::flat_buffer buf{kMaxBufferedBytes};
   std::optional<Parser> parser;
+  std::optional<runtime::ResponseBodyReader> body;
   // What is being sent, and the part of it that is left.
   std::string outgoing_head;
   std::shared_ptr<const HeldBody> outgoing_body;
@@ -187,19 +188,18 @@
       }
       parser->get().body().data = piece.data();
       parser->get().body().size = piece.size();
-      auto [ec, n] =
-          co_await http::async_read_some(stream, buf, *parser, kNoThrow);
+      const beast::error_code ec = co_await body->ReadSome(*parser);
       if (ec && ec != http::error::need_buffer) {
         co_return false;
       }
-      discarded += n;
+      discarded += piece.size() - parser->get().body().size;
     }
-    co_return parser->get().keep_alive();
+    co_return parser->keep_alive();
   }
 
   void FinishResponse() {
     const auto& head = parser->get();
-    can_reuse = head.keep_alive() && !sending && buf.size() == 0;
+    can_reuse = parser->keep_alive() && !sending && buf.size() == 0;
     const auto announced = KeepAliveTimeout(head[http::field::keep_alive]);
     idle_limit = kDefaultIdleLimit;
     if (announced) {
@@ -264,6 +264,7 @@
     self->parser.emplace();
     self->parser->body_limit(boost::none);
     self->parser->skip(head_request);
+    self->body.emplace(self->stream, self->buf);
     const beast::error_code ec = co_await runtime::ReadResponseHead(
         self->stream, self->buf, *self->parser, kMaxHeadBytes);
     if (ec) {
@@ -300,8 +301,7 @@
     body.data = self->piece.data();
     body.size = self->piece.size();
     body.more = true;
-    auto [ec, n] = co_await http::async_read_some(self->stream, self->buf,
-                                                  *self->parser, kNoThrow);
+    const beast::error_code ec = co_await self->body->ReadSome(*self->parser);
     if (ec && ec != http::error::need_buffer) {
       co_return self->Translate(ec);
     }
