--- a/gateway/src/caller_connection.cc
+++ b/gateway/src/caller_connection.cc
@@ -13,6 +13,7 @@
 
 #include "buffer_account.h"
 #include "exchange.h"
+#include "runtime/body_reader.h"
 #include "runtime/event_log.h"
 
 namespace peridotgate::gateway {
@@ -131,12 +132,11 @@
   }
   PartialBody body(parts.buffers, parts.clock.Now(),
                    [&stream] { stream.cancel(); });
-  parser.eager(true);
+  runtime::RequestBodyReader reader(stream, caller.buf());
   unsigned status = 0;
   std::string_view reason;
   while (!parser.is_done() && status == 0) {
-    auto [ec, n] =
-        co_await http::async_read_some(stream, caller.buf(), parser, kNoThrow);
+    const beast::error_code ec = co_await reader.ReadSome(parser);
     const TimePoint now = parts.clock.Now();
     const std::size_t size =
         parser.get().body().size() + caller.buf().capacity();
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -24,6 +24,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "coordination/ids.h"
+#include "runtime/body_reader.h"
 #include "runtime/http.h"
 
 namespace peridotgate::runtime {
@@ -256,7 +257,12 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
-    auto [ec, n] = co_await http::async_read(stream, buf, parser, kNoThrow);
+    auto [ec, n] =
+        co_await http::async_read_header(stream, buf, parser, kNoThrow);
+    RequestBodyReader body(stream, buf);
+    while (!ec && !parser.is_done()) {
+      ec = co_await body.ReadSome(parser);
+    }
     if (ec) {
       co_await RespondToBadRequest(stream, ec);
       co_return false;
--- /dev/null
+++ b/runtime/tests/fuzz/request_fuzzer.cc
@@ -0,0 +1,4 @@
+#include "fuzz/fuzzer.h"
+#include "request_target.h"
+
+PG_FUZZER(peridotgate::runtime::RequestTarget)
--- a/runtime/tests/fuzz/targets_test.cc
+++ b/runtime/tests/fuzz/targets_test.cc
@@ -3,6 +3,7 @@
 
 #include "body_target.h"
 #include "fuzz/mutations.h"
+#include "request_target.h"
 #include "response_target.h"
 
 namespace peridotgate::runtime {
@@ -12,6 +13,10 @@
   fuzz::RunMutations<BodyTarget>();
 }
 
+TEST(Fuzz, RequestsInPieces) {
+  fuzz::RunMutations<RequestTarget>();
+}
+
 TEST(Fuzz, ResponsesInPieces) {
   fuzz::RunMutations<ResponseTarget>();
 }
