Order the store's rows by its era first

Cause: a restore gives versions out again, and gateways ordered rows by the version alone. RowTable refused every answer, and the table was read whole again at once, without a pause.

Change: StoreVersion is (era, number). A table of an earlier era than the newest known one is read whole. Rows that are older than the known ones by the writer's own order are held back for 5 s, and servers without a row are kept as long. A refused answer is followed by a pause. Gateways register again when they learn of an era, and keep peers whose rows are lost. A store that tells no era works as before.

--- a/gateway/include/gateway/fleet_source.h
+++ b/gateway/include/gateway/fleet_source.h
@@ -16,12 +16,14 @@
 #include <boost/asio/io_context.hpp>
 
 #include "coordination/result.h"
+#include "coordination/store_version.h"
 #include "gateway/fleet_view.h"
 
 namespace peridotgate::gateway {
 
 namespace asio = boost::asio;
 using coordination::Result;
+using coordination::StoreVersion;
 
 /** What a failed call to the store implies about its effect. */
 enum class StoreError {
@@ -29,8 +31,10 @@
   kUnknown,      // No answer; it may have taken effect or still may.
   kConflict,     // Version condition not met; had no effect.
   kThrottled,    // Rate limited; had no effect.
-  kHistoryGone,  // Change history expired; read the whole table again.
-  kMalformed,    // The answer could not be parsed.
+  // The change history expired, or the store was restored from a backup and
+  // has another history; read the whole table again.
+  kHistoryGone,
+  kMalformed,  // The answer could not be parsed.
 };
 
 /** The name used for the error in metrics and logs. */
@@ -40,27 +44,35 @@
 struct StoredRow {
   std::string key;
   std::string value;
-  std::int64_t version = 0;
+  StoreVersion version = {};
   bool removed = false;
 };
 
 /** Rows of a table at one version of the store. */
 struct StoredRows {
   std::vector<StoredRow> rows;
-  std::int64_t version = 0;
+  StoreVersion version = {};
   std::optional<Millis> time = {};  // The store's steady clock, if it tells it.
 };
 
 /** A row that was written. */
 struct StoredWrite {
-  std::int64_t version = 0;         // Of the row.
+  StoreVersion version = {};        // Of the row.
   std::optional<Millis> time = {};  // The store's steady clock, if it tells it.
 };
 
-/** A key-value table service with conditional writes and a change feed. */
+/**
+ * A key-value table service with conditional writes and a change feed. After a
+ * restore from a backup it is in a new era. Answers of an earlier era than the
+ * newest known one count as failed calls.
+ */
 class Store {
  public:
   virtual ~Store() = default;
+  /** The newest era that is known; 0 until the store tells one. */
+  std::int64_t era() const { return era_; }
+  /** Learns the era from an answer or from another gateway. */
+  void LearnEra(std::int64_t era);
   /** Reads all rows of a table, at the time of the call or later. */
   virtual asio::awaitable<Result<StoredRows, StoreError>> ReadAll(
       std::string table) = 0;
@@ -68,15 +80,18 @@
    * a first change. */
   virtual asio::awaitable<Result<StoredRows, StoreError>> Follow(
       std::string table,
-      std::int64_t after,
+      StoreVersion after,
       std::chrono::milliseconds wait) = 0;
-  /** Writes a row if its version is `expected` (0: the row must not exist), or
-   * unconditionally without `expected`. */
+  /** Writes a row if its version is `expected` (number 0: the row must not
+   * exist), or unconditionally without `expected`. */
   virtual asio::awaitable<Result<StoredWrite, StoreError>> Write(
       std::string table,
       std::string key,
       std::string value,
-      std::optional<std::int64_t> expected) = 0;
+      std::optional<StoreVersion> expected) = 0;
+
+ private:
+  std::int64_t era_ = 0;
 };
 
 /** Names the tables that describe the fleet and parses their rows. */
--- a/gateway/include/gateway/fleet_state.h
+++ b/gateway/include/gateway/fleet_state.h
@@ -4,12 +4,14 @@
 #ifndef GATEWAY_FLEET_STATE_H_
 #define GATEWAY_FLEET_STATE_H_
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "coordination/clock.h"
 #include "gateway/fleet_source.h"
@@ -30,6 +32,12 @@
  * back. A server whose row expired during a store outage is kept for a grace
  * period after the store's return.
  *
+ * After a restore of the store from a backup, servers write their rows again.
+ * Until then the backup may hold rows that were changed or removed since, or
+ * lack some. For a grace period, a row that is older than the known one by the
+ * server's own order, or not newer than one that was removed, is held back, and
+ * a server without a row is kept. Then the store's rows count.
+ *
  *     state.OnServerRows(rows, true, now);
  *     if (state.TakeChanged()) { publish(state.view()); }
  */
@@ -63,12 +71,44 @@
  private:
   struct Entry {
     BackendServer server;
-    std::int64_t version = 0;
+    StoreVersion version;
     // When a server that is not listed is removed.
     std::optional<TimePoint> missing_until;
   };
 
+  // A server's own order of its rows, which a restore does not change. It does
+  // not come back once it is leaving.
+  struct Revision {
+    std::int64_t born_ms = 0;
+    std::int64_t sequence = 0;
+    bool leaving = false;
+    std::strong_ordering operator<=>(const Revision& other) const {
+      return std::tie(born_ms, sequence, leaving) <=>
+             std::tie(other.born_ms, other.sequence, other.leaving);
+    }
+  };
+  struct Departed {
+    Revision revision;
+    StoreVersion version;
+  };
+  struct HeldBackRow {
+    BackendServer server;
+    StoreVersion version;
+  };
+
+  static Revision RevisionOf(const BackendServer& server) {
+    return {server.born_ms, server.sequence, server.leaving};
+  }
+
   void ApplyRules(std::string_view value);
+  void ApplyServer(const std::string& key,
+                   BackendServer server,
+                   const StoreVersion& version);
+  bool IsOutdated(const std::string& key,
+                  const BackendServer& server,
+                  const StoreVersion& version,
+                  bool whole) const;
+  void RecordDeparture(const std::string& key, const Entry& entry);
   void Remove(const std::string& key, TimePoint until, TimePoint now);
   bool HasNamedWeights(const std::string& id, const std::string& model) const;
 
@@ -85,6 +125,10 @@
   FleetView view_;
   bool store_lost_ = false;
   TimePoint rows_back_by_{};  // All live servers are listed again from then on.
+  std::int64_t era_ = 0;      // Of the servers' rows.
+  TimePoint rewritten_by_{};  // Servers have written their rows again by then.
+  std::map<std::string, Departed> departed_;  // Servers that were removed.
+  std::map<std::string, HeldBackRow> held_back_;
   bool changed_ = false;
 };
 
--- a/gateway/include/gateway/fleet_view.h
+++ b/gateway/include/gateway/fleet_view.h
@@ -23,6 +23,8 @@
   int slots = 0;
   bool leaving = false;
   std::int64_t born_ms = 0;  // Start as Unix time; identifies the incarnation.
+  // Grows with the row's changes within an incarnation.
+  std::int64_t sequence = 0;
   std::map<std::string, std::int64_t> weights;  // Version by model.
   bool operator==(const BackendServer&) const = default;
 };
--- a/gateway/include/gateway/row_table.h
+++ b/gateway/include/gateway/row_table.h
@@ -23,14 +23,15 @@
 class RowTable {
  public:
   /** Applies rows from the store; `whole` if they are the full table. Returns
-   * false, without any change, if they are older than the known version. */
+   * false, without any change, if they are older than the known version, or
+   * changes of another era. */
   bool Apply(const StoredRows& rows, bool whole);
 
   /** The rows that changed after `version`; nothing if the history does not
    * reach back that far. */
-  std::optional<StoredRows> ChangesAfter(std::int64_t version) const;
+  std::optional<StoredRows> ChangesAfter(StoreVersion version) const;
   /** Whether rows changed after `version`, or may have. */
-  bool HasChangesAfter(std::int64_t version) const;
+  bool HasChangesAfter(StoreVersion version) const;
   /** The row with this key, or null; it may be a tombstone. */
   const StoredRow* Find(const std::string& key) const;
   /** The rows with values of at least `bytes`. */
@@ -38,16 +39,16 @@
   /** All rows except tombstones. */
   StoredRows All() const;
 
-  /** The store version up to which the rows are known; 0 if none is. */
-  std::int64_t version() const { return version_; }
+  /** The store version up to which the rows are known; number 0 if none is. */
+  StoreVersion version() const { return version_; }
 
  private:
   void PruneTombstones();
 
   std::map<std::string, StoredRow> rows_;
   std::size_t tombstones_ = 0;  // Number of tombstones in `rows_`.
-  std::int64_t version_ = 0;
-  std::int64_t history_start_ = 0;  // Older history is not available.
+  StoreVersion version_;
+  StoreVersion history_start_;  // Older history is not available.
 };
 
 }  // namespace peridotgate::gateway
--- a/gateway/src/fleet_state.cc
+++ b/gateway/src/fleet_state.cc
@@ -13,6 +13,13 @@
 // its return; a server that is still missing then is removed.
 constexpr milliseconds kMissingGrace{2000};
 
+// Servers write about every second, and the store removes the row of a server
+// that was silent for three such intervals.
+constexpr milliseconds kRewriteGrace{5000};
+
+// Enough for the servers that leave within the age of a backup.
+constexpr std::size_t kMaxDeparted = 1024;
+
 // A switch to new weights that is not reported as done after this time is
 // ignored.
 constexpr milliseconds kSwitchTimeout{4000};
@@ -56,6 +63,10 @@
   if (std::exchange(store_lost_, false)) {
     rows_back_by_ = now + kMissingGrace;
   }
+  if (rows.version.era > era_) {
+    era_ = rows.version.era;
+    rewritten_by_ = servers_.empty() ? now : now + kRewriteGrace;
+  }
   std::set<std::string, std::less<>> listed;
   std::size_t removed_count = 0;
   for (const StoredRow& it : rows.rows) {
@@ -65,6 +76,7 @@
   const bool many = 2 * removed_count > servers_.size();
   const TimePoint until = many ? now + kMissingGrace : rows_back_by_;
   for (const StoredRow& it : rows.rows) {
+    held_back_.erase(it.key);
     if (it.removed) {
       Remove(it.key, until, now);
       continue;
@@ -77,13 +89,11 @@
       continue;
     }
     listed.insert(it.key);
-    Entry& entry = servers_[it.key];
-    entry.missing_until.reset();
-    if (it.version >= entry.version && !(entry.server == *server)) {
-      entry.server = std::move(*server);
-      changed_ = true;
+    if (now < rewritten_by_ && IsOutdated(it.key, *server, it.version, whole)) {
+      held_back_[it.key] = {*std::move(server), it.version};
+      continue;
     }
-    entry.version = std::max(entry.version, it.version);
+    ApplyServer(it.key, *std::move(server), it.version);
   }
   if (whole) {
     std::vector<std::string> missing;
@@ -93,12 +103,58 @@
       }
     }
     const bool many_missing = 2 * missing.size() > servers_.size();
+    const TimePoint back_by = std::max(rows_back_by_, rewritten_by_);
     for (const std::string& key : missing) {
-      Remove(key, many_missing ? now + kMissingGrace : rows_back_by_, now);
+      Remove(key,
+             many_missing ? std::max(back_by, now + kMissingGrace) : back_by,
+             now);
     }
   }
 }
 
+void FleetState::ApplyServer(const std::string& key,
+                             BackendServer server,
+                             const StoreVersion& version) {
+  departed_.erase(key);
+  Entry& entry = servers_[key];
+  entry.missing_until.reset();
+  if (version >= entry.version && !(entry.server == server)) {
+    entry.server = std::move(server);
+    changed_ = true;
+  }
+  entry.version = std::max(entry.version, version);
+}
+
+// Whether a row comes from a backup and is older than what was known before.
+bool FleetState::IsOutdated(const std::string& key,
+                            const BackendServer& server,
+                            const StoreVersion& version,
+                            bool whole) const {
+  const Revision revision = RevisionOf(server);
+  const auto known = servers_.find(key);
+  if (known != servers_.end()) {
+    return known->second.version.era < version.era &&
+           revision < RevisionOf(known->second.server);
+  }
+  const auto gone = departed_.find(key);
+  if (gone == departed_.end() || gone->second.version.era >= version.era) {
+    return false;
+  }
+  // A change shows that the server is there.
+  return whole ? revision <= gone->second.revision
+               : revision < gone->second.revision;
+}
+
+void FleetState::RecordDeparture(const std::string& key, const Entry& entry) {
+  departed_[key] = {RevisionOf(entry.server), entry.version};
+  if (departed_.size() > kMaxDeparted) {
+    departed_.erase(std::min_element(
+        departed_.begin(), departed_.end(), [](const auto& a, const auto& b) {
+          return a.second.version < b.second.version;
+        }));
+  }
+}
+
 // Removes a server at `until`, or at once if it was leaving.
 void FleetState::Remove(const std::string& key,
                         TimePoint until,
@@ -108,6 +164,7 @@
     return;
   }
   if (until <= now || found->second.server.leaving) {
+    RecordDeparture(key, found->second);
     servers_.erase(found);
     changed_ = true;
     return;
@@ -146,9 +203,19 @@
     }
   }
   const auto n = std::erase_if(servers_, [&](const auto& it) {
-    return it.second.missing_until && now >= *it.second.missing_until;
+    const bool gone =
+        it.second.missing_until && now >= *it.second.missing_until;
+    if (gone) {
+      RecordDeparture(it.first, it.second);
+    }
+    return gone;
   });
   changed_ = changed_ || n > 0;
+  if (now >= rewritten_by_) {
+    for (auto& [key, row] : std::exchange(held_back_, {})) {
+      ApplyServer(key, std::move(row.server), row.version);
+    }
+  }
 }
 
 TimePoint FleetState::NextExpiry() const {
@@ -156,7 +223,7 @@
   for (const auto& [key, entry] : servers_) {
     next = std::min(next, entry.missing_until.value_or(next));
   }
-  return next;
+  return held_back_.empty() ? next : std::min(next, rewritten_by_);
 }
 
 bool FleetState::HasNamedWeights(const std::string& id,
--- a/gateway/src/follower.cc
+++ b/gateway/src/follower.cc
@@ -56,6 +56,10 @@
 
 }  // namespace
 
+void Store::LearnEra(std::int64_t era) {
+  era_ = std::max(era_, era);
+}
+
 std::string_view Name(StoreError error) {
   switch (error) {
     case StoreError::kUnavailable:
@@ -137,14 +141,16 @@
       const TimePoint started = clock.Now();
       auto rows = co_await Read(table);
       LogTransfer("store", table, rows ? &rows.value() : nullptr, started);
-      if (rows) {
-        OnStoreRows(table, rows.value(), whole);
+      if (rows && OnStoreRows(table, rows.value(), whole)) {
+        table.pause = kRetryPause;
         if (table.feed == Feed::kServers && !rows.value().rows.empty()) {
           co_await Pause(kBatchDelay);
         }
         continue;
       }
-      OnError(table, rows.error());
+      if (!rows) {
+        OnError(table, rows.error());
+      }
       co_await Pause(table.pause);
       table.pause = std::min(2 * table.pause, kMaxRetryPause);
     }
@@ -157,18 +163,19 @@
     return store.Follow(table.name, table.rows.version(), kFeedWait);
   }
 
-  void OnStoreRows(Table& table, const StoredRows& rows, bool whole) {
+  // Returns whether the rows were newer than those that are known.
+  bool OnStoreRows(Table& table, const StoredRows& rows, bool whole) {
     plan.OnStoreResult(table.feed, true, clock.Now());
-    table.pause = kRetryPause;
     if (table.lost) {
       table.lost = false;
       LogEvent("store_regained", LogClass::kNotable)
           .Add("table", table.name)
-          .Add("version", rows.version);
+          .Add("version", rows.version.number);
     }
     LogSource("store");
-    OnRows(table, rows, whole);
+    const bool applied = OnRows(table, rows, whole);
     AnnounceConfirmation();
+    return applied;
   }
 
   void AnnounceConfirmation() {
@@ -180,10 +187,14 @@
     }
   }
 
-  void OnRows(Table& table, const StoredRows& rows, bool whole) {
+  bool OnRows(Table& table, const StoredRows& rows, bool whole) {
+    const std::int64_t era_before = table.rows.version().era;
     // Ignores an answer that is older than the known rows.
     if (!table.rows.Apply(rows, whole)) {
-      return;
+      return false;
+    }
+    if (rows.version.era != era_before && era_before != 0) {
+      LogRestore(table, era_before);
     }
     for (const StoredRow& it : rows.rows) {
       table.patches.OnRow(it);
@@ -196,9 +207,21 @@
     }
     table.whole = false;
     PublishChanges();
-    if (!rows.rows.empty()) {
+    if (!rows.rows.empty() || rows.version.era != era_before) {
       AnswerHeldQueries();
     }
+    return true;
+  }
+
+  // The store came back from a backup: its rows replace the known ones of a
+  // history that is lost, as far as `FleetState` does not know better.
+  void LogRestore(const Table& table, std::int64_t era_before) {
+    metrics.GetCounter("peridotgate_gateway_store_restores_total").Add();
+    LogEvent("store_restored", LogClass::kNotable)
+        .Add("table", table.name)
+        .Add("era", table.rows.version().era)
+        .Add("era_before", era_before)
+        .Add("version", table.rows.version().number);
   }
 
   void AnswerHeldQueries() {
@@ -253,7 +276,8 @@
       table.whole = true;
       LogEvent("store_history_gone", LogClass::kNotable)
           .Add("table", table.name)
-          .Add("version", table.rows.version());
+          .Add("version", table.rows.version().number)
+          .Add("era", store.era());
       return;
     }
     plan.OnStoreResult(table.feed, false, clock.Now());
@@ -263,7 +287,7 @@
       table.lost = true;
       LogEvent("store_lost", LogClass::kNotable)
           .Add("table", table.name)
-          .Add("version", table.rows.version())
+          .Add("version", table.rows.version().number)
           .Add("error", Name(error));
     }
   }
@@ -297,7 +321,8 @@
       LogTransfer(runtime::ToString(peer), rules, nullptr, started);
     }
     std::optional<PeerRows> rows;
-    if (copy && copy->age_ms >= 0) {
+    // A peer that has not learned of a restore has nothing new.
+    if (copy && copy->age_ms >= 0 && !IsBehind(*copy)) {
       rows = PeerRows{Millis(copy->age_ms), copy->from_store};
     }
     const bool fresh = plan.OnPeerAnswer(peer, rows, clock.Now());
@@ -319,17 +344,24 @@
     co_return fresh;
   }
 
+  bool IsBehind(const wire::FeedCopy& copy) const {
+    return std::any_of(
+        copy.tables.begin(), copy.tables.end(),
+        [&](const wire::TableCopy& it) { return it.era < store.era(); });
+  }
+
   static wire::TableMark MakeMark(const Table& table) {
     wire::TableMark mark;
     mark.name = table.name;
-    mark.version = table.rows.version();
+    mark.version = table.rows.version().number;
+    mark.era = table.rows.version().era;
     if (table.without_base) {
       return mark;
     }
     for (const StoredRow* it : table.rows.LargeRows(kMinPatchedBytes)) {
       wire::RowMark row;
       row.key = it->key;
-      row.version = it->version;
+      row.version = it->version.number;
       mark.rows.push_back(std::move(row));
     }
     return mark;
@@ -343,6 +375,7 @@
       if (table == nullptr || table_copy.version == 0) {
         continue;
       }
+      store.LearnEra(table_copy.era);
       auto rows = ReadCopy(*table, table_copy);
       table->without_base = !rows;
       if (!rows) {
@@ -361,14 +394,16 @@
   static std::optional<StoredRows> ReadCopy(const Table& table,
                                             const wire::TableCopy& copy) {
     StoredRows rows;
-    rows.version = copy.version;
+    rows.version = {copy.era, copy.version};
     for (const wire::RowCopy& it : copy.rows) {
-      StoredRow row{it.key, it.value, it.version, it.removed};
+      StoredRow row{it.key, it.value, {copy.era, it.version}, it.removed};
       if (it.__isset.patch) {
         const StoredRow* base = table.rows.Find(it.key);
         const bool fits =
             it.patch.base_version == 0 ||
-            (base != nullptr && base->version == it.patch.base_version);
+            (base != nullptr &&
+             base->version ==
+                 StoreVersion{it.patch.base_era, it.patch.base_version});
         auto value =
             fits ? ApplyPatch(base != nullptr ? base->value : "", it.patch)
                  : std::nullopt;
@@ -394,7 +429,7 @@
       if (table == nullptr) {
         continue;
       }
-      if (table->rows.HasChangesAfter(mark.version)) {
+      if (table->rows.HasChangesAfter({mark.era, mark.version})) {
         return true;
       }
     }
@@ -403,6 +438,9 @@
 
   asio::awaitable<wire::FeedCopy> Answer(wire::FeedQuery query) {
     const Millis wait(std::clamp<std::int64_t>(query.wait_ms, 0, 1000));
+    for (const wire::TableMark& it : query.tables) {
+      store.LearnEra(it.era);
+    }
     if (!HasChangesFor(query)) {
       asio::steady_timer timer(duty.context(), wait);
       held_queries.insert(&timer);
@@ -424,25 +462,28 @@
   static wire::TableCopy MakeCopy(Table& table,
                                   const wire::TableMark& mark,
                                   bool patches) {
-    const auto changes = mark.version == 0
-                             ? std::nullopt
-                             : table.rows.ChangesAfter(mark.version);
+    const auto changes =
+        mark.version == 0 ? std::nullopt
+                          : table.rows.ChangesAfter({mark.era, mark.version});
     const StoredRows rows = changes ? *changes : table.rows.All();
     wire::TableCopy copy;
     copy.name = table.name;
-    copy.version = rows.version;
+    copy.version = rows.version.number;
+    copy.era = rows.version.era;
     copy.whole = !changes;
     for (const StoredRow& it : rows.rows) {
       wire::RowCopy row;
       row.key = it.key;
-      row.version = it.version;
+      row.version = it.version.number;
       row.removed = it.removed;
       if (patches && !it.removed && it.value.size() >= kMinPatchedBytes) {
         const auto base = std::find_if(
             mark.rows.begin(), mark.rows.end(),
             [&](const auto& known) { return known.key == it.key; });
         row.__set_patch(
-            table.patches.Get(it, base == mark.rows.end() ? 0 : base->version));
+            table.patches.Get(it, base == mark.rows.end()
+                                      ? StoreVersion{}
+                                      : StoreVersion{mark.era, base->version}));
       } else {
         row.value = it.value;
       }
--- a/gateway/src/peer_links.cc
+++ b/gateway/src/peer_links.cc
@@ -87,7 +87,8 @@
 
   struct Peer {
     std::shared_ptr<runtime::HttpClient> client;
-    std::int64_t row_version = 0;
+    StoreVersion row_version;
+    PeerGateway registered;
     TimePoint changed_at{};
   };
 
@@ -195,13 +196,22 @@
       const bool succeeded = written && rows;
       pause = succeeded ? kPresencePeriod : kShortPresencePeriod;
       if (succeeded) {
-        timer.expires_after(kPresencePeriod);
-        co_await timer.async_wait(kNoThrow);
+        co_await WaitForRenewal(timer);
         pause = Millis(0);
       }
     }
   }
 
+  // Waits until the row must be renewed, or written again after a restore.
+  asio::awaitable<void> WaitForRenewal(asio::steady_timer& timer) {
+    const std::int64_t era = store.era();
+    const TimePoint end = clock.Now() + kPresencePeriod;
+    while (clock.Now() < end && store.era() == era) {
+      timer.expires_after(kShortPresencePeriod);
+      co_await timer.async_wait(kNoThrow);
+    }
+  }
+
   void OnRows(const StoredRows& rows) {
     const TimePoint now = clock.Now();
     std::vector<PeerGateway> live;
@@ -215,8 +225,17 @@
         peer.row_version = it.version;
         peer.changed_at = now;
       }
+      peer.registered = ParseRegistration(*address, it.value);
       if (now - peer.changed_at < kPresenceTimeout) {
-        live.push_back(ParseRegistration(*address, it.value));
+        live.push_back(peer.registered);
+      }
+    }
+    // A restore of the store may have lost rows, which are written again.
+    for (const auto& [address, peer] : peers) {
+      const bool lost = peer.row_version.number != 0 &&
+                        peer.row_version.era < rows.version.era;
+      if (lost && now - peer.changed_at < kPresenceTimeout) {
+        live.push_back(peer.registered);
       }
     }
     std::erase_if(peers, [&](const auto& it) {
--- a/gateway/src/rollout_leader.cc
+++ b/gateway/src/rollout_leader.cc
@@ -136,7 +136,7 @@
   runtime::Metrics& metrics;
   BootClock clock;
   Lease lease;
-  std::int64_t row_version = 0;
+  StoreVersion row_version;
   WeightsRollout rollout;
   bool was_leader = false;
   bool reporting = false;  // Progress may have changed since the last report.
@@ -264,7 +264,7 @@
       co_return;
     }
     std::optional<LeaseRecord> record;
-    row_version = 0;
+    row_version = {};
     for (const StoredRow& it : rows.value().rows) {
       if (it.key == kLeaseKey) {
         record = Parse(it.value);
--- a/gateway/src/row_patch.cc
+++ b/gateway/src/row_patch.cc
@@ -187,7 +187,7 @@
 }
 
 const wire::RowPatch& RowPatches::Get(const StoredRow& row,
-                                      std::int64_t base_version) {
+                                      StoreVersion base_version) {
   RowState& state = rows_[row.key];
   if (state.versions.empty() || state.versions.back().version != row.version) {
     state = {};
@@ -196,18 +196,20 @@
   const auto base = std::find_if(
       state.versions.begin(), state.versions.end(),
       [&](const Version& it) { return it.version == base_version; });
-  const std::int64_t used = base == state.versions.end() ? 0 : base_version;
+  const StoreVersion used =
+      base == state.versions.end() ? StoreVersion{} : base_version;
   const auto found = state.patches.find(used);
   if (found != state.patches.end()) {
     return found->second;
   }
   std::span<const TextChunk> base_chunks;
-  if (used != 0) {
+  if (used.number != 0) {
     base_chunks = base->chunks;
   }
   wire::RowPatch patch =
       MakePatch(row.value, state.versions.back().chunks, base_chunks);
-  patch.base_version = used;
+  patch.base_version = used.number;
+  patch.base_era = used.era;
   return state.patches.emplace(used, std::move(patch)).first->second;
 }
 
--- a/gateway/src/row_patch.h
+++ b/gateway/src/row_patch.h
@@ -57,16 +57,16 @@
 
   /** The patch that builds `row` from `base_version`, or from nothing if that
    * version is not remembered. Valid until the next call. */
-  const wire::RowPatch& Get(const StoredRow& row, std::int64_t base_version);
+  const wire::RowPatch& Get(const StoredRow& row, StoreVersion base_version);
 
  private:
   struct Version {
-    std::int64_t version = 0;
+    StoreVersion version;
     std::vector<TextChunk> chunks;
   };
   struct RowState {
     std::deque<Version> versions;                    // Oldest first.
-    std::map<std::int64_t, wire::RowPatch> patches;  // By base version.
+    std::map<StoreVersion, wire::RowPatch> patches;  // By base version.
   };
 
   std::map<std::string, RowState> rows_;
--- a/gateway/src/row_table.cc
+++ b/gateway/src/row_table.cc
@@ -11,7 +11,8 @@
 }  // namespace
 
 bool RowTable::Apply(const StoredRows& rows, bool whole) {
-  if (rows.version < version_) {
+  const bool same_history = rows.version.era == version_.era;
+  if (rows.version < version_ || (!whole && !same_history)) {
     return false;
   }
   if (whole) {
@@ -42,7 +43,7 @@
   history_start_ = version_;
 }
 
-std::optional<StoredRows> RowTable::ChangesAfter(std::int64_t version) const {
+std::optional<StoredRows> RowTable::ChangesAfter(StoreVersion version) const {
   if (version < history_start_) {
     return std::nullopt;
   }
@@ -56,7 +57,7 @@
   return changes;
 }
 
-bool RowTable::HasChangesAfter(std::int64_t version) const {
+bool RowTable::HasChangesAfter(StoreVersion version) const {
   return version < history_start_ ||
          std::any_of(rows_.begin(), rows_.end(), [&](const auto& it) {
            return it.second.version > version;
--- a/gateway/tests/correctness/row_patch_test.cc
+++ b/gateway/tests/correctness/row_patch_test.cc
@@ -20,7 +20,7 @@
 }
 
 StoredRow Row(std::int64_t version, std::string value) {
-  return {"config", std::move(value), version, false};
+  return {"config", std::move(value), {0, version}, false};
 }
 
 TEST(RowPatch, BuildsTheNewVersion) {
@@ -44,12 +44,12 @@
     patches.OnRow(Row(5, after));
     {
       SCOPED_TRACE("from the version before");
-      const wire::RowPatch patch = patches.Get(Row(5, after), 3);
+      const wire::RowPatch patch = patches.Get(Row(5, after), {0, 3});
       EXPECT_EQ(ApplyPatch(before, patch), after);
     }
     {
       SCOPED_TRACE("from nothing, for a gateway with a forgotten version");
-      const wire::RowPatch patch = patches.Get(Row(5, after), 4);
+      const wire::RowPatch patch = patches.Get(Row(5, after), {0, 4});
       EXPECT_EQ(patch.base_version, 0);
       EXPECT_EQ(ApplyPatch("", patch), after);
     }
@@ -66,7 +66,7 @@
     RowPatches patches;
     patches.OnRow(Row(1, before));
     patches.OnRow(Row(2, after));
-    EXPECT_LT(patches.Get(Row(2, after), 1).literals.size(), 2000U);
+    EXPECT_LT(patches.Get(Row(2, after), {0, 1}).literals.size(), 2000U);
   }
 }
 
@@ -77,7 +77,7 @@
   RowPatches patches;
   patches.OnRow(Row(1, before));
   patches.OnRow(Row(2, after));
-  const wire::RowPatch patch = patches.Get(Row(2, after), 1);
+  const wire::RowPatch patch = patches.Get(Row(2, after), {0, 1});
   {
     SCOPED_TRACE("another base");
     EXPECT_FALSE(ApplyPatch(RandomRoutes(random, 100), patch));
--- a/gateway/tests/error/fleet_state_test.cc
+++ b/gateway/tests/error/fleet_state_test.cc
@@ -2,6 +2,10 @@
 // unreadable or not at all.
 #include "gateway/fleet_state.h"
 
+#include <string>
+#include <utility>
+#include <vector>
+
 #include <gtest/gtest.h>
 
 #include "../plain_format.h"
@@ -15,12 +19,12 @@
 class FleetStateTest : public testing::Test {
  protected:
   void PutOperatorRow(const std::string& key, const std::string& value) {
-    state_.OnOperatorRows({{{key, value, ++version_, false}}, version_}, now_);
+    state_.OnOperatorRows({{{key, value, Next(), false}}, At()}, now_);
     state_.TakeChanged();
   }
   void PutServerRow(const std::string& key, const std::string& value) {
-    state_.OnServerRows({{{key, value, ++version_, value.empty()}}, version_},
-                        false, now_);
+    state_.OnServerRows({{{key, value, Next(), value.empty()}}, At()}, false,
+                        now_);
     state_.TakeChanged();
   }
   bool Has(const std::string& key) {
@@ -29,9 +33,16 @@
     return state_.view().servers->contains(key);
   }
 
+  StoreVersion At() const { return {era_, version_}; }
+  StoreVersion Next() {
+    ++version_;
+    return At();
+  }
+
   PlainFormat format_;
   FleetState state_{format_};
   TimePoint now_{seconds(100)};
+  std::int64_t era_ = 0;
   std::int64_t version_ = 0;
 };
 
@@ -74,8 +85,7 @@
     SCOPED_TRACE("a server missing after a store outage is kept");
     state_.OnStoreLost();
     now_ += milliseconds(500);
-    state_.OnServerRows({{{"d", "ready", ++version_, false}}, version_}, true,
-                        now_);
+    state_.OnServerRows({{{"d", "ready", Next(), false}}, At()}, true, now_);
     EXPECT_TRUE(Has("a"));
   }
   {
@@ -90,7 +100,7 @@
   {
     SCOPED_TRACE("servers are kept when most rows vanish at once");
     now_ += seconds(60);
-    state_.OnServerRows({{}, ++version_}, true, now_);
+    state_.OnServerRows({{}, Next()}, true, now_);
     EXPECT_TRUE(Has("a"));
     now_ += seconds(3);
     EXPECT_FALSE(Has("a"));
@@ -139,5 +149,70 @@
   }
 }
 
+// The store was restored from a backup that lacks the last changes.
+class RestoredRows : public FleetStateTest {
+ protected:
+  // Applies the full table of a new era.
+  void Restore(std::vector<std::pair<std::string, std::string>> rows) {
+    ++era_;
+    version_ = 1;
+    StoredRows table;
+    table.version = At();
+    for (auto& [key, value] : rows) {
+      table.rows.push_back({key, value, At(), false});
+    }
+    state_.OnServerRows(table, true, now_);
+    state_.TakeChanged();
+  }
+  bool IsLeaving(const std::string& key) {
+    return state_.view().servers->at(key).leaving;
+  }
+
+  // More than three intervals of the servers' writes.
+  static constexpr seconds kRewritten{5};
+};
+
+TEST_F(RestoredRows, ServersThatLeftStayAway) {
+  for (const char* it : {"a", "b", "c", "d"}) {
+    PutServerRow(it, "ready 1");
+  }
+  PutServerRow("a", "leaving 2");
+  PutServerRow("b", "");
+  Restore(
+      {{"a", "ready 1"}, {"b", "ready 1"}, {"c", "ready 1"}, {"d", "ready 1"}});
+  {
+    SCOPED_TRACE("the rows of the copy are older than what is known");
+    EXPECT_TRUE(IsLeaving("a"));
+    EXPECT_FALSE(Has("b"));
+    EXPECT_TRUE(Has("c"));
+  }
+  {
+    SCOPED_TRACE("a server that writes again is there");
+    PutServerRow("b", "ready 1");
+    EXPECT_TRUE(Has("b"));
+  }
+  {
+    SCOPED_TRACE("the store removes the rows that are not written again");
+    PutServerRow("a", "");
+    now_ += kRewritten;
+    EXPECT_FALSE(Has("a"));
+  }
+}
+
+TEST_F(RestoredRows, TheStoreCountsOnceItsRowsHaveBeenWrittenAgain) {
+  for (const char* it : {"a", "b", "c"}) {
+    PutServerRow(it, "ready 1");
+  }
+  PutServerRow("b", "");
+  Restore({{"a", "ready 1"}, {"b", "ready 1"}});
+  {
+    SCOPED_TRACE("a row that the copy lacks is kept, and may come back");
+    EXPECT_TRUE(Has("c"));
+  }
+  now_ += kRewritten;
+  EXPECT_FALSE(Has("c"));
+  EXPECT_TRUE(Has("b"));
+}
+
 }  // namespace
 }  // namespace peridotgate::gateway
--- a/gateway/tests/error/follower_test.cc
+++ b/gateway/tests/error/follower_test.cc
@@ -24,17 +24,17 @@
            const std::string& key,
            const std::string& value) {
     ++version_;
-    tables_[table][key] = {key, value, version_, value.empty()};
+    tables_[table][key] = {key, value, {era_, version_}, value.empty()};
   }
 
   StoredRows ChangesAfter(const std::string& table,
                           std::int64_t version) const {
     StoredRows rows;
-    rows.version = version_;
+    rows.version = {era_, version_};
     auto found = tables_.find(table);
     if (found != tables_.end()) {
       for (const auto& [key, row] : found->second) {
-        if (row.version > version && (version > 0 || !row.removed)) {
+        if (row.version.number > version && (version > 0 || !row.removed)) {
           rows.rows.push_back(row);
         }
       }
@@ -42,8 +42,19 @@
     return rows;
   }
 
+  // Comes back in a new era with one row in each table.
+  void Restore(const std::string& rules) {
+    ++era_;
+    version_ = 0;
+    tables_.clear();
+    Put("rules", "rules", rules);
+    Put("servers", "a", "ready");
+  }
+  std::int64_t era() const { return era_; }
+
  private:
   std::map<std::string, std::map<std::string, StoredRow>> tables_;
+  std::int64_t era_ = 1;
   std::int64_t version_ = 0;
 };
 
@@ -59,25 +70,30 @@
     if (unreachable) {
       co_return StoreError::kUnavailable;
     }
+    LearnEra(store_.era());
     co_return store_.ChangesAfter(table, 0);
   }
 
   asio::awaitable<Result<StoredRows, StoreError>> Follow(
       std::string table,
-      std::int64_t after,
+      StoreVersion after,
       std::chrono::milliseconds wait) override {
     ++calls;
     const auto end = std::chrono::steady_clock::now() + wait;
-    StoredRows rows = store_.ChangesAfter(table, after);
+    StoredRows rows = store_.ChangesAfter(table, after.number);
     while (!unreachable && rows.rows.empty() &&
            std::chrono::steady_clock::now() < end) {
       asio::steady_timer timer(context_, std::chrono::milliseconds(2));
       co_await timer.async_wait(asio::use_awaitable);
-      rows = store_.ChangesAfter(table, after);
+      rows = store_.ChangesAfter(table, after.number);
     }
     if (unreachable) {
       co_return StoreError::kUnavailable;
     }
+    LearnEra(store_.era());
+    if (after.era != era()) {
+      co_return StoreError::kHistoryGone;
+    }
     co_return rows;
   }
 
@@ -85,7 +101,7 @@
       std::string /*table*/,
       std::string /*key*/,
       std::string /*value*/,
-      std::optional<std::int64_t> /*expected*/) override {
+      std::optional<StoreVersion> /*expected*/) override {
     co_return StoreError::kUnavailable;
   }
 
@@ -219,6 +235,27 @@
   }
 }
 
+TEST_F(Gateways, LearnOfARestoreThroughOneOfThem) {
+  for (int i = 2; i <= 20; ++i) {
+    store_.Put("rules", "rules", std::to_string(i));
+  }
+  ASSERT_TRUE(AllKnowRules(20));
+  {
+    SCOPED_TRACE("rules in force stay, as the copy has older ones");
+    store_.Restore("5");
+    ASSERT_TRUE(
+        Eventually([&] { return nodes_[2]->store->era() == store_.era(); }));
+    EXPECT_TRUE(AllKnowRules(20));
+  }
+  {
+    SCOPED_TRACE("later changes come to all, with versions given out again");
+    store_.Put("rules", "rules", "21");
+    EXPECT_TRUE(AllKnowRules(21));
+    EXPECT_EQ(nodes_[1]->store->calls, 0);
+    EXPECT_EQ(nodes_[2]->store->calls, 0);
+  }
+}
+
 TEST_F(Gateways, LearnFromPeersThatReachTheStore) {
   ASSERT_TRUE(AllKnowRules(1));
   {
--- a/gateway/tests/plain_format.h
+++ b/gateway/tests/plain_format.h
@@ -43,11 +43,16 @@
       server.weights["model"] = 2;
       return server;
     }
-    if (value != "ready" && value != "leaving") {
+    // A state, and a sequence if need be.
+    const std::string_view state = value.substr(0, value.find(' '));
+    if (state != "ready" && state != "leaving") {
       fault = "unknown state";
       return std::nullopt;
     }
-    server.leaving = value == "leaving";
+    server.leaving = state == "leaving";
+    if (state.size() < value.size()) {
+      server.sequence = std::stoll(std::string(value.substr(state.size())));
+    }
     return server;
   }
 };
--- a/testing/soak/row_store_stand_in.cc
+++ b/testing/soak/row_store_stand_in.cc
@@ -60,7 +60,7 @@
 asio::awaitable<void> RowStoreStandIn::Handle(runtime::HttpRequest request,
                                               runtime::HttpExchange& exchange) {
   if (faults.down) {
-    co_await exchange.Send(Reply(503, {}));
+    co_await Send(Reply(503, {}), exchange);
     co_return;
   }
   const std::string target(request.target());
@@ -78,9 +78,28 @@
   } else {
     response = Reply(404, {});
   }
+  co_await Send(std::move(response), exchange);
+}
+
+asio::awaitable<void> RowStoreStandIn::Send(
+    runtime::HttpResponse response,
+    runtime::HttpExchange& exchange) const {
+  response.set("Store-Era", std::to_string(era_));
   co_await exchange.Send(std::move(response));
 }
 
+void RowStoreStandIn::Backup() {
+  backup_ = {tables_, version_};
+}
+
+void RowStoreStandIn::Restore() {
+  tables_ = backup_.tables;
+  version_ = backup_.version;
+  history_start_ = std::min(history_start_, version_);
+  ++era_;
+  WakeFeeds();
+}
+
 runtime::HttpResponse RowStoreStandIn::Transact(const std::string& body) {
   const json::value call = json::parse(body);
   for (const json::value& it : call.at("expected").as_array()) {
@@ -146,7 +165,7 @@
     feed_timers_.erase(&timer);
     rows = Rows(table, after, true);
   }
-  if (after < history_start_) {
+  if (after < history_start_ || after > version_) {
     co_return Reply(410, {{"ver", version_}});
   }
   co_return Reply(200, {{"rows", std::move(rows)}, {"ver", version_}});
@@ -164,6 +183,19 @@
   WakeFeeds();
 }
 
+std::vector<std::string> RowStoreStandIn::Keys(const std::string& table) const {
+  std::vector<std::string> keys;
+  const auto found = tables_.find(table);
+  if (found != tables_.end()) {
+    for (const auto& [key, row] : found->second) {
+      if (!row.removed) {
+        keys.push_back(key);
+      }
+    }
+  }
+  return keys;
+}
+
 void RowStoreStandIn::WakeFeeds() {
   for (asio::steady_timer* it : feed_timers_) {
     it->cancel();
--- a/testing/soak/row_store_stand_in.h
+++ b/testing/soak/row_store_stand_in.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -40,9 +41,17 @@
            const std::string& key,
            const json::object& value);
   void Remove(const std::string& table, const std::string& key);
+  /** The keys of the rows of a table. */
+  std::vector<std::string> Keys(const std::string& table) const;
   /** Drops the history: feeds that are behind are answered with 410. */
   void TrimHistory() { history_start_ = version_; }
 
+  /** Keeps a copy of all rows. */
+  void Backup();
+  /** Comes back from the copy in a new era: what was written since is lost, and
+   * versions are given out again. */
+  void Restore();
+
   StoreFaults faults;
 
  private:
@@ -52,7 +61,13 @@
     bool removed = false;
   };
   using Table = std::map<std::string, Row>;
+  struct Content {
+    std::map<std::string, Table> tables;
+    std::int64_t version = 0;
+  };
 
+  asio::awaitable<void> Send(runtime::HttpResponse response,
+                             runtime::HttpExchange& exchange) const;
   runtime::HttpResponse Transact(const std::string& body);
   runtime::HttpResponse Get(std::string_view target) const;
   asio::awaitable<runtime::HttpResponse> Feed(std::string target);
@@ -65,6 +80,8 @@
   std::map<std::string, Table> tables_;
   std::int64_t version_ = 0;
   std::int64_t history_start_ = 0;
+  std::int64_t era_ = 1;
+  Content backup_;
   std::set<asio::steady_timer*> feed_timers_;
 };
 
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -8777,6 +8777,10 @@
 void RowPatch::__set_checksum(const int64_t val) {
   this->checksum = val;
 }
+
+void RowPatch::__set_base_era(const int64_t val) {
+  this->base_era = val;
+}
 std::ostream& operator<<(std::ostream& out, const RowPatch& obj)
 {
   obj.printTo(out);
@@ -8857,6 +8861,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_era);
+          this->__isset.base_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8902,6 +8914,10 @@
   xfer += oprot->writeI64(this->checksum);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("base_era", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->base_era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8914,6 +8930,7 @@
   swap(a.literals, b.literals);
   swap(a.literal_bytes, b.literal_bytes);
   swap(a.checksum, b.checksum);
+  swap(a.base_era, b.base_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -8923,6 +8940,7 @@
   literals = other317.literals;
   literal_bytes = other317.literal_bytes;
   checksum = other317.checksum;
+  base_era = other317.base_era;
   __isset = other317.__isset;
 }
 RowPatch::RowPatch(RowPatch&& other318) noexcept {
@@ -8931,6 +8949,7 @@
   literals = std::move(other318.literals);
   literal_bytes = other318.literal_bytes;
   checksum = other318.checksum;
+  base_era = other318.base_era;
   __isset = other318.__isset;
 }
 RowPatch& RowPatch::operator=(const RowPatch& other319) {
@@ -8939,6 +8958,7 @@
   literals = other319.literals;
   literal_bytes = other319.literal_bytes;
   checksum = other319.checksum;
+  base_era = other319.base_era;
   __isset = other319.__isset;
   return *this;
 }
@@ -8948,6 +8968,7 @@
   literals = std::move(other320.literals);
   literal_bytes = other320.literal_bytes;
   checksum = other320.checksum;
+  base_era = other320.base_era;
   __isset = other320.__isset;
   return *this;
 }
@@ -8959,6 +8980,7 @@
   out << ", " << "literals=" << to_string(literals);
   out << ", " << "literal_bytes=" << to_string(literal_bytes);
   out << ", " << "checksum=" << to_string(checksum);
+  out << ", " << "base_era=" << to_string(base_era);
   out << ")";
 }
 
@@ -9173,6 +9195,10 @@
 void TableCopy::__set_rows(const std::vector<RowCopy> & val) {
   this->rows = val;
 }
+
+void TableCopy::__set_era(const int64_t val) {
+  this->era = val;
+}
 std::ostream& operator<<(std::ostream& out, const TableCopy& obj)
 {
   obj.printTo(out);
@@ -9245,6 +9271,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9286,6 +9320,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9297,6 +9335,7 @@
   swap(a.version, b.version);
   swap(a.whole, b.whole);
   swap(a.rows, b.rows);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -9305,6 +9344,7 @@
   version = other331.version;
   whole = other331.whole;
   rows = other331.rows;
+  era = other331.era;
   __isset = other331.__isset;
 }
 TableCopy::TableCopy(TableCopy&& other332) noexcept {
@@ -9312,6 +9352,7 @@
   version = other332.version;
   whole = other332.whole;
   rows = std::move(other332.rows);
+  era = other332.era;
   __isset = other332.__isset;
 }
 TableCopy& TableCopy::operator=(const TableCopy& other333) {
@@ -9319,6 +9360,7 @@
   version = other333.version;
   whole = other333.whole;
   rows = other333.rows;
+  era = other333.era;
   __isset = other333.__isset;
   return *this;
 }
@@ -9327,6 +9369,7 @@
   version = other334.version;
   whole = other334.whole;
   rows = std::move(other334.rows);
+  era = other334.era;
   __isset = other334.__isset;
   return *this;
 }
@@ -9337,6 +9380,7 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "whole=" << to_string(whole);
   out << ", " << "rows=" << to_string(rows);
+  out << ", " << "era=" << to_string(era);
   out << ")";
 }
 
@@ -9644,6 +9688,10 @@
 void TableMark::__set_rows(const std::vector<RowMark> & val) {
   this->rows = val;
 }
+
+void TableMark::__set_era(const int64_t val) {
+  this->era = val;
+}
 std::ostream& operator<<(std::ostream& out, const TableMark& obj)
 {
   obj.printTo(out);
@@ -9708,6 +9756,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9745,6 +9801,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9755,6 +9815,7 @@
   swap(a.name, b.name);
   swap(a.version, b.version);
   swap(a.rows, b.rows);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -9762,18 +9823,21 @@
   name = other355.name;
   version = other355.version;
   rows = other355.rows;
+  era = other355.era;
   __isset = other355.__isset;
 }
 TableMark::TableMark(TableMark&& other356) noexcept {
   name = std::move(other356.name);
   version = other356.version;
   rows = std::move(other356.rows);
+  era = other356.era;
   __isset = other356.__isset;
 }
 TableMark& TableMark::operator=(const TableMark& other357) {
   name = other357.name;
   version = other357.version;
   rows = other357.rows;
+  era = other357.era;
   __isset = other357.__isset;
   return *this;
 }
@@ -9781,6 +9845,7 @@
   name = std::move(other358.name);
   version = other358.version;
   rows = std::move(other358.rows);
+  era = other358.era;
   __isset = other358.__isset;
   return *this;
 }
@@ -9790,6 +9855,7 @@
   out << "name=" << to_string(name);
   out << ", " << "version=" << to_string(version);
   out << ", " << "rows=" << to_string(rows);
+  out << ", " << "era=" << to_string(era);
   out << ")";
 }
 
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -3311,12 +3311,13 @@
 std::ostream& operator<<(std::ostream& out, const RowPiece& obj);
 
 typedef struct _RowPatch__isset {
-  _RowPatch__isset() : base_version(false), pieces(false), literals(false), literal_bytes(false), checksum(false) {}
+  _RowPatch__isset() : base_version(false), pieces(false), literals(false), literal_bytes(false), checksum(false), base_era(false) {}
   bool base_version :1;
   bool pieces :1;
   bool literals :1;
   bool literal_bytes :1;
   bool checksum :1;
+  bool base_era :1;
 } _RowPatch__isset;
 
 class RowPatch : public virtual ::apache::thrift::TBase {
@@ -3330,7 +3331,8 @@
            : base_version(0),
              literals(),
              literal_bytes(0),
-             checksum(0) {
+             checksum(0),
+             base_era(0) {
   }
 
   virtual ~RowPatch() noexcept;
@@ -3339,6 +3341,7 @@
   std::string literals;
   int64_t literal_bytes;
   int64_t checksum;
+  int64_t base_era;
 
   _RowPatch__isset __isset;
 
@@ -3352,6 +3355,8 @@
 
   void __set_checksum(const int64_t val);
 
+  void __set_base_era(const int64_t val);
+
   bool operator == (const RowPatch & rhs) const
   {
     if (!(base_version == rhs.base_version))
@@ -3364,6 +3369,8 @@
       return false;
     if (!(checksum == rhs.checksum))
       return false;
+    if (!(base_era == rhs.base_era))
+      return false;
     return true;
   }
   bool operator != (const RowPatch &rhs) const {
@@ -3457,11 +3464,12 @@
 std::ostream& operator<<(std::ostream& out, const RowCopy& obj);
 
 typedef struct _TableCopy__isset {
-  _TableCopy__isset() : name(false), version(false), whole(false), rows(false) {}
+  _TableCopy__isset() : name(false), version(false), whole(false), rows(false), era(false) {}
   bool name :1;
   bool version :1;
   bool whole :1;
   bool rows :1;
+  bool era :1;
 } _TableCopy__isset;
 
 class TableCopy : public virtual ::apache::thrift::TBase {
@@ -3474,7 +3482,8 @@
   TableCopy() noexcept
             : name(),
               version(0),
-              whole(0) {
+              whole(0),
+              era(0) {
   }
 
   virtual ~TableCopy() noexcept;
@@ -3482,6 +3491,7 @@
   int64_t version;
   bool whole;
   std::vector<RowCopy>  rows;
+  int64_t era;
 
   _TableCopy__isset __isset;
 
@@ -3493,6 +3503,8 @@
 
   void __set_rows(const std::vector<RowCopy> & val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const TableCopy & rhs) const
   {
     if (!(name == rhs.name))
@@ -3503,6 +3515,8 @@
       return false;
     if (!(rows == rhs.rows))
       return false;
+    if (!(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const TableCopy &rhs) const {
@@ -3632,10 +3646,11 @@
 std::ostream& operator<<(std::ostream& out, const RowMark& obj);
 
 typedef struct _TableMark__isset {
-  _TableMark__isset() : name(false), version(false), rows(false) {}
+  _TableMark__isset() : name(false), version(false), rows(false), era(false) {}
   bool name :1;
   bool version :1;
   bool rows :1;
+  bool era :1;
 } _TableMark__isset;
 
 class TableMark : public virtual ::apache::thrift::TBase {
@@ -3647,13 +3662,15 @@
   TableMark& operator=(TableMark&&) noexcept;
   TableMark() noexcept
             : name(),
-              version(0) {
+              version(0),
+              era(0) {
   }
 
   virtual ~TableMark() noexcept;
   std::string name;
   int64_t version;
   std::vector<RowMark>  rows;
+  int64_t era;
 
   _TableMark__isset __isset;
 
@@ -3663,6 +3680,8 @@
 
   void __set_rows(const std::vector<RowMark> & val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const TableMark & rhs) const
   {
     if (!(name == rhs.name))
@@ -3671,6 +3690,8 @@
       return false;
     if (!(rows == rhs.rows))
       return false;
+    if (!(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const TableMark &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -234,26 +234,30 @@
 // row, or the next `size` bytes of the literals if `offset` is negative.
 struct RowPiece { 1: i64 offset, 2: i64 size }
 // Builds the value of a row from the receiver's copy of the row at `base_version`
-// (0: of literals only). `literals` is in zlib format, `literal_bytes` long when
+// of `base_era` (0: of literals only). `literals` is in zlib format, `literal_bytes` long when
 // inflated; `checksum` is the XXH3-64 hash of the value.
 struct RowPatch {
   1: i64 base_version, 2: list<RowPiece> pieces, 3: binary literals,
-  4: i64 literal_bytes, 5: i64 checksum
+  4: i64 literal_bytes, 5: i64 checksum, 6: i64 base_era
 }
 struct RowCopy {
   1: string key, 2: binary value, 3: i64 version, 4: bool removed,
   5: optional RowPatch patch
 }
 struct TableCopy {
-  1: string name, 2: i64 version, 3: bool whole, 4: list<RowCopy> rows
+  1: string name, 2: i64 version, 3: bool whole, 4: list<RowCopy> rows,
+  5: i64 era
 }
 struct FeedCopy {
   1: i64 age_ms, 2: list<TableCopy> tables, 3: bool from_store
 }
+// Versions are those of the store's `era`; those of the rows too.
 // The table version up to which the sender has all rows; 0: it has none.
 // `rows` are the large rows that it has.
 struct RowMark { 1: string key, 2: i64 version }
-struct TableMark { 1: string name, 2: i64 version, 3: list<RowMark> rows }
+struct TableMark {
+  1: string name, 2: i64 version, 3: list<RowMark> rows, 4: i64 era
+}
 // `patches`: whether large rows may come as patches.
 struct FeedQuery { 1: i64 wait_ms, 2: list<TableMark> tables, 3: bool patches }
 
