Keep the lease of orders and its tokens safe across restores

Cause: the token was that of the stored row plus one, and a restore takes the row back. A missing or older row also counted as an expired lease, so that a second gateway could lead beside the first.

Change: a holder stops when it learns of a new era. A contender that finds a row of an earlier era, or none, waits for the whole length of the lease from its first read in the new era. A token is the version of the write that acquired the lease, with the era in its high bits, so that it needs no row. Without eras all is as before. The soak draws store_restored.

--- a/coordination/include/coordination/lease.h
+++ b/coordination/include/coordination/lease.h
@@ -2,7 +2,7 @@
 // compare-and-set. Does no I/O and needs no shared clock: each contender
 // measures time with its own clock. If the store that keeps the row tells its
 // time, a contender also knows how old a row is that it reads for the first
-// time.
+// time. If the store tells its eras, the lease is safe across restores.
 #ifndef COORDINATION_LEASE_H_
 #define COORDINATION_LEASE_H_
 
@@ -13,6 +13,7 @@
 #include "coordination/clock.h"
 #include "coordination/ids.h"
 #include "coordination/state_chart.h"
+#include "coordination/store_version.h"
 
 namespace peridotgate::coordination {
 
@@ -25,6 +26,9 @@
   // The store's time when the holder sent the write, or when it last acted if
   // it released the lease, and never earlier; 0: unknown.
   std::chrono::milliseconds stored{0};
+  // The era of the store in which the holder sent the write; a row of an
+  // earlier era comes from a backup.
+  std::int64_t era = 0;
 
   bool operator==(const LeaseRecord&) const = default;
 };
@@ -52,6 +56,7 @@
   Duration renewal = std::chrono::seconds(2);
   Duration read_period = std::chrono::seconds(1);
   bool enforce_expiry = true;  // For tests: false keeps an expired token.
+  bool heed_eras = true;       // For tests: false ignores the store's eras.
 };
 
 /**
@@ -61,6 +66,13 @@
  * write. It therefore stops before a successor can start, even if the process
  * was paused.
  *
+ * A restore of the store may lose the row or bring back an earlier one. A
+ * holder stops when it learns of the new era. Until then it may act on a write
+ * that was confirmed before the restore, so a contender takes over only when it
+ * has known the new era and the row unchanged for `length`, unless the row was
+ * written in that era. Tokens then follow from the version of the write that
+ * acquired the lease, not from the row.
+ *
  *     Lease lease({}, NewId());
  *     switch (lease.Next(clock.Now())) { ... }
  *     if (auto token = lease.token(clock.Now())) { Act(*token); }
@@ -85,15 +97,23 @@
    */
   const LeaseRecord& to_write() const { return last_write_; }
 
-  /** Reports the row, and the store's time when it was read, if known. */
+  /** The store is known to be in this era; earlier ones are ignored. May be
+   * called at any time. */
+  void OnEra(std::int64_t era);
+
+  /** Reports the row in the present era, its version, and the store's time when
+   * it was read, if known. */
   void OnRead(const std::optional<LeaseRecord>& row,
               TimePoint now,
-              std::optional<StoreTime> store_time = std::nullopt);
+              std::optional<StoreTime> store_time = std::nullopt,
+              StoreVersion version = {});
   /** Reports that reading the row failed. */
   void OnReadFailed(TimePoint now);
+  /** Reports the result of a write, and the version that it created. */
   void OnWrite(LeaseWrite result,
                TimePoint now,
-               std::optional<StoreTime> store_time = std::nullopt);
+               std::optional<StoreTime> store_time = std::nullopt,
+               StoreVersion version = {});
 
   /**
    * Stops contending. If this contender holds the lease, returns a record to
@@ -115,7 +135,8 @@
   void Observe(const std::optional<LeaseRecord>& row,
                TimePoint now,
                const std::optional<StoreTime>& store_time);
-  void MarkHeld();
+  void MarkHeld(const StoreVersion& version);
+  bool IsFromBackup(const LeaseRecord& row) const { return row.era != era_; }
   std::chrono::milliseconds LatestStoreTime(TimePoint at) const;
 
   LeaseOptions options_;
@@ -126,7 +147,9 @@
   std::optional<LeaseRecord> last_row_;
   TimePoint last_row_since_{};
   bool has_read_ = false;
+  std::int64_t era_ = 0;  // The newest that is known.
   LeaseRecord last_write_;
+  bool acquiring_ = false;  // `last_write_` acquires the lease.
   TimePoint last_write_sent_{};
   std::int64_t token_ = 0;
   TimePoint held_until_{};
--- a/coordination/src/lease.cc
+++ b/coordination/src/lease.cc
@@ -38,10 +38,12 @@
       return LeaseAction::kNone;
     }
     cursor_.Step("renew");
+    acquiring_ = false;
     return Write(token_, now);
   }
   if (cursor_.Is("watching") && HasExpired(now)) {
     cursor_.Step("expired");
+    acquiring_ = true;
     return Write(last_row_ ? last_row_->token + 1 : 1, now);
   }
   return now >= next_read_ ? Read(now) : LeaseAction::kNone;
@@ -67,6 +69,7 @@
   last_write_.revision = (last_row_ ? last_row_->revision : 0) + 1;
   ++last_write_.attempt;
   last_write_.stored = LatestStoreTime(now);
+  last_write_.era = era_;
   return LeaseAction::kWrite;
 }
 
@@ -83,7 +86,12 @@
 
 // A record that names this process as the holder is taken over immediately,
 // even if it is not the last write: no other process can have acted under it.
+// None of this holds for a row that a restore may have lost or brought back.
 bool Lease::HasExpired(TimePoint now) const {
+  const bool uncertain = last_row_ ? IsFromBackup(*last_row_) : era_ != 0;
+  if (uncertain) {
+    return now - last_row_since_ >= options_.length;
+  }
   if (!last_row_ || last_row_->holder == self_) {
     return true;
   }
@@ -100,29 +108,49 @@
     last_row_since_ = now;
     has_read_ = true;
   }
-  if (row && store_time && row->stored.count() > 0) {
+  if (row && !IsFromBackup(*row) && store_time && row->stored.count() > 0) {
     const Duration age =
         std::max(Duration{}, Duration(store_time->time - row->stored));
     last_row_since_ = std::min(last_row_since_, now - age);
   }
 }
 
-void Lease::MarkHeld() {
+void Lease::MarkHeld(const StoreVersion& version) {
   last_row_ = last_write_;
-  token_ = last_write_.token;
+  if (acquiring_) {
+    token_ = era_ == 0 ? last_write_.token : FencingToken(version);
+  }
   held_until_ = last_write_sent_ + options_.length - options_.margin;
 }
 
+void Lease::OnEra(std::int64_t era) {
+  if (era <= era_ || !options_.heed_eras) {
+    return;
+  }
+  era_ = era;
+  has_read_ = false;
+  last_row_.reset();
+  next_read_ = {};
+  // The result of an outstanding write ends the other states.
+  for (const std::string_view it : {"watching", "holding", "unsure"}) {
+    if (cursor_.Is(it)) {
+      cursor_.Step("restored");
+      return;
+    }
+  }
+}
+
 void Lease::OnRead(const std::optional<LeaseRecord>& row,
                    TimePoint now,
-                   std::optional<StoreTime> store_time) {
+                   std::optional<StoreTime> store_time,
+                   StoreVersion version) {
   PG_CHECK(outstanding_);
   outstanding_ = false;
   store_time_ = store_time ? store_time : store_time_;
   const bool own = row && *row == last_write_;
   if (cursor_.Is("unsure") && own) {
     cursor_.Step("read_own");
-    MarkHeld();
+    MarkHeld(version);
     return;
   }
   Observe(row, now, store_time);
@@ -141,15 +169,20 @@
 
 void Lease::OnWrite(LeaseWrite result,
                     TimePoint now,
-                    std::optional<StoreTime> store_time) {
+                    std::optional<StoreTime> store_time,
+                    StoreVersion version) {
   PG_CHECK(outstanding_);
   outstanding_ = false;
   store_time_ = store_time ? store_time : store_time_;
   next_read_ = now;
+  if (IsFromBackup(last_write_)) {
+    cursor_.Step("restored");
+    return;
+  }
   switch (result) {
     case LeaseWrite::kDone:
       cursor_.Step("written");
-      MarkHeld();
+      MarkHeld(version);
       return;
     case LeaseWrite::kConflict:
       cursor_.Step("conflict");
@@ -179,7 +212,8 @@
 }
 
 std::optional<std::int64_t> Lease::token(TimePoint now) const {
-  const bool held = cursor_.Is("holding") || cursor_.Is("renewing");
+  const bool held = (cursor_.Is("holding") || cursor_.Is("renewing")) &&
+                    !IsFromBackup(last_write_);
   if (!held || (options_.enforce_expiry && now >= held_until_)) {
     return std::nullopt;
   }
--- a/gateway/src/rollout_leader.cc
+++ b/gateway/src/rollout_leader.cc
@@ -77,6 +77,7 @@
   object["revision"] = record.revision;
   object["attempt"] = record.attempt;
   object["stored_ms"] = record.stored.count();
+  object["era"] = record.era;
   return boost::json::serialize(object);
 }
 
@@ -100,6 +101,7 @@
   record.revision = integer("revision");
   record.attempt = integer("attempt");
   record.stored = Millis(integer("stored_ms"));
+  record.era = integer("era");
   return record;
 }
 
@@ -158,6 +160,7 @@
     while (true) {
       timer.expires_after(kStepPeriod);
       co_await timer.async_wait(kNoThrow);
+      HeedRestore();
       if (leaves_at && clock.Now() >= *leaves_at) {
         co_await ReleaseLease();
         ended = true;
@@ -195,6 +198,18 @@
     }
   }
 
+  // After a restore of the store another gateway may get the lease.
+  void HeedRestore() {
+    const bool held = lease.token(clock.Now()).has_value();
+    lease.OnEra(store.era());
+    if (held && !lease.token(clock.Now())) {
+      LogEvent("order_lease", LogClass::kNotable)
+          .Add("held", false)
+          .Add("why", "store restored")
+          .Add("era", store.era());
+    }
+  }
+
   // Sends what changed since the last report. Called before an order is sent,
   // so that no gateway uses the server meanwhile, and else once per step, which
   // combines the ends of several switches.
@@ -263,6 +278,7 @@
       lease.OnReadFailed(clock.Now());
       co_return;
     }
+    lease.OnEra(store.era());
     std::optional<LeaseRecord> record;
     row_version = {};
     for (const StoredRow& it : rows.value().rows) {
@@ -271,7 +287,8 @@
         row_version = it.version;
       }
     }
-    lease.OnRead(record, clock.Now(), TimeOf(rows.value().time, asked));
+    lease.OnRead(record, clock.Now(), TimeOf(rows.value().time, asked),
+                 row_version);
   }
 
   asio::awaitable<void> WriteLease() {
@@ -281,10 +298,11 @@
     const TimePoint asked = clock.Now();
     auto written = co_await store.Write(std::move(table), std::move(key),
                                         std::move(value), row_version);
+    lease.OnEra(store.era());
     if (written) {
       row_version = written.value().version;
       lease.OnWrite(LeaseWrite::kDone, clock.Now(),
-                    TimeOf(written.value().time, asked));
+                    TimeOf(written.value().time, asked), row_version);
       co_return;
     }
     switch (written.error()) {
@@ -376,6 +394,7 @@
   asio::awaitable<void> SendOrder(runtime::HttpClient& client,
                                   const RolloutTask& task,
                                   WeightsOrder order) {
+    HeedRestore();
     const auto token = lease.token(clock.Now());
     if (!token) {
       rollout.OnReportFailed(task, clock.Now());
--- a/testing/soak/server_stand_in.cc
+++ b/testing/soak/server_stand_in.cc
@@ -129,6 +129,12 @@
   }
 }
 
+void ServerStandIn::WriteRowAgain() {
+  if (up_) {
+    Register();
+  }
+}
+
 void ServerStandIn::Register() {
   json::object row{
       {"service", service_},
--- a/testing/soak/server_stand_in.h
+++ b/testing/soak/server_stand_in.h
@@ -49,6 +49,11 @@
   /** Announces draining, keeps serving for a while, then restarts. */
   asio::awaitable<void> Drain();
 
+  /** Writes its row again, as it is now. */
+  void WriteRowAgain();
+  /** Whether it runs under this id. */
+  bool IsUp(const std::string& id) const { return up_ && id_ == id; }
+
   /** Names this limit in its answers, in requests a second; 0: names none. */
   void SetLimit(double per_s) { limit_per_s_ = per_s; }
   /** The requests that reached this server so far. */
--- a/testing/soak/soak_faults.cc
+++ b/testing/soak/soak_faults.cc
@@ -35,6 +35,7 @@
       NamedFault{"store_down", &SoakFaults::TakeStoreDown},
       NamedFault{"store_answers_lost", &SoakFaults::LoseStoreResponses},
       NamedFault{"store_forgets", &SoakFaults::TrimStoreHistory},
+      NamedFault{"store_restored", &SoakFaults::RestoreStore},
       NamedFault{"server_crashed", &SoakFaults::CrashServer},
       NamedFault{"server_connections_cut", &SoakFaults::CutServerConnections},
       NamedFault{"server_connections_silent",
@@ -190,6 +191,23 @@
   co_return;
 }
 
+// The store is away and comes back from a copy some seconds old. The operator
+// and the servers write their rows again, and rows that no server renews
+// expire.
+asio::awaitable<void> SoakFaults::RestoreStore() {
+  RowStoreStandIn& store = fleet_.store();
+  store.Backup();
+  co_await Pause(300, 4000);
+  store.faults.down = true;
+  co_await Pause(200, 1500);
+  store.Restore();
+  store.faults.down = false;
+  co_await Pause(0, 1500);
+  fleet_.WriteRowsAgain();
+  co_await Pause(1000, 3000);
+  fleet_.ExpireServerRows();
+}
+
 asio::awaitable<void> SoakFaults::CrashServer() {
   ServerStandIn& it = PickServer();
   const bool same_id = random_() % 2 == 0;
--- a/testing/soak/soak_faults.h
+++ b/testing/soak/soak_faults.h
@@ -41,6 +41,7 @@
   asio::awaitable<void> TakeStoreDown();
   asio::awaitable<void> LoseStoreResponses();
   asio::awaitable<void> TrimStoreHistory();
+  asio::awaitable<void> RestoreStore();
   asio::awaitable<void> CrashServer();
   asio::awaitable<void> CutServerConnections();
   asio::awaitable<void> SilenceServerConnections();
--- a/testing/soak/soak_fleet.cc
+++ b/testing/soak/soak_fleet.cc
@@ -1,5 +1,6 @@
 #include "soak/soak_fleet.h"
 
+#include <algorithm>
 #include <fstream>
 
 #include <spdlog/fmt/fmt.h>
@@ -116,6 +117,7 @@
 }
 
 void SoakFleet::PublishRules(std::int64_t version) {
+  rules_version_ = version;
   json::object config;
   config["version"] = version;
   config["routes"] = json::array{
@@ -148,6 +150,25 @@
   store_.Put("op", "version/model", {{"model", "model"}, {"version", version}});
 }
 
+void SoakFleet::WriteRowsAgain() {
+  PublishRules(rules_version_);
+  PublishWeights(weights_version_);
+  for (const auto& it : servers_) {
+    it->WriteRowAgain();
+  }
+}
+
+void SoakFleet::ExpireServerRows() {
+  for (const std::string& key : store_.Keys("servers")) {
+    const bool live =
+        std::any_of(servers_.begin(), servers_.end(),
+                    [&](const auto& it) { return it->IsUp(key); });
+    if (!live) {
+      store_.Remove("servers", key);
+    }
+  }
+}
+
 void SoakFleet::BeginFault() {
   ++active_faults_;
   fault_free_since_ = SteadyTime::max() - std::chrono::hours(1);
--- a/testing/soak/soak_fleet.h
+++ b/testing/soak/soak_fleet.h
@@ -51,6 +51,10 @@
    */
   void PublishRules(std::int64_t version);
   void PublishWeights(std::int64_t version);
+  /** The operator and the servers write their rows as they are now. */
+  void WriteRowsAgain();
+  /** Removes the rows of servers that are gone. */
+  void ExpireServerRows();
   /** The weights version that was published last. */
   std::int64_t weights_version() const { return weights_version_; }
 
@@ -79,6 +83,7 @@
   std::vector<std::unique_ptr<ServerStandIn>> servers_;
   std::vector<GatewayProcess> gateways_;
   int active_faults_ = 0;
+  std::int64_t rules_version_ = 0;
   std::int64_t weights_version_ = 1;
   SteadyTime fault_free_since_{};
 };
