Let a server's own report correct what is known of its weights

Cause: the loaded version of a server only grew. The rollout took the larger of the known version and that of the row, and never asked a server again that was done; the load balancer kept sending requests that expected the newer weights, which the server turned away.

Change: what is known belongs to one birth at one address, in the rollout, the load balancer and the progress that others report. A row that changes to an older version makes the leader fetch the report, which counts in both directions. The load balancer takes the version of an answer as it is, and rows and progress only when they are new and newer.

--- a/gateway/include/gateway/weights_rollout.h
+++ b/gateway/include/gateway/weights_rollout.h
@@ -30,7 +30,12 @@
 };
 
 /**
- * The state of a rollout. The owner calls `Next` for a server, fetches its
+ * The state of a rollout. What is known of a server belongs to one incarnation
+ * of it at one address. Its report counts, whatever was known before: an order
+ * that was carried out late may have taken it back to older weights. Its row
+ * lags behind the report, so a change of the row to an older version only shows
+ * that the report must be fetched again.
+ * The owner calls `Next` for a server, fetches its
  * report, and sends an order if `OnReport` returns one.
  *
  *     while (auto task = rollout.Next(now)) {
@@ -82,7 +87,12 @@
   struct Model {
     std::int64_t loaded = 0;
     std::int64_t target = 0;
+    std::int64_t row = 0;   // The version in the server's row.
+    bool doubtful = false;  // The server may have older weights than `loaded`.
   };
+  static bool NeedsWork(const Model& model) {
+    return model.loaded < model.target || model.doubtful;
+  }
 
   // A server loads one model at a time.
   struct Server {
@@ -94,6 +104,10 @@
     TimePoint next_poll{};
   };
 
+  // Applies the version in the server's row.
+  static void OnRow(Model& model, std::int64_t version);
+  // The server as of the task; null if another incarnation took its place.
+  Server* Find(const RolloutTask& task);
   // Turns to the next model with older weights, if the last one is done.
   static void Advance(Server& server);
   std::size_t MaxConcurrent() const;
--- a/gateway/src/fleet_state.cc
+++ b/gateway/src/fleet_state.cc
@@ -119,6 +119,10 @@
   Entry& entry = servers_[key];
   entry.missing_until.reset();
   if (version >= entry.version && !(entry.server == server)) {
+    if (entry.server.born_ms != server.born_ms ||
+        entry.server.address != server.address) {
+      rollout_.erase(key);
+    }
     entry.server = std::move(server);
     changed_ = true;
   }
--- a/gateway/src/load_balancer.cc
+++ b/gateway/src/load_balancer.cc
@@ -521,7 +521,8 @@
   std::erase_if(it.servers, [&](const auto& entry) {
     auto found = listed_servers.find(entry.first);
     return found == listed_servers.end() ||
-           found->second.born_ms != entry.second.info.born_ms;
+           found->second.born_ms != entry.second.info.born_ms ||
+           found->second.address != entry.second.info.address;
   });
   it.standing.OnListed(
       [&](std::string_view id) {
--- a/gateway/src/server_state.h
+++ b/gateway/src/server_state.h
@@ -69,6 +69,7 @@
   routing::Standing standing;  // By its own answers and other gateways.
   // Known weights version by model.
   std::map<std::string, std::int64_t> versions;
+  std::optional<RolloutState> rollout;  // As last reported.
   std::optional<TimePoint> switching_since;
   PartLru parts;
   double transfer_ms_per_token = Engine{}.transfer_ms_per_token;
@@ -105,26 +106,42 @@
     return switching_since && now - *switching_since < kSwitchTimeout;
   }
 
-  // A new weights version invalidates the cached parts.
+  // The version that the server's own answer shows, which may be older than the
+  // known one. Another version invalidates the cached parts.
   void RecordVersion(const std::string& model, std::int64_t version) {
     std::int64_t& known = versions[model];
-    if (version > known) {
-      if (known != 0) {
-        parts.Clear();
-      }
-      known = version;
+    if (known != 0 && version != known) {
+      parts.Clear();
     }
+    known = version;
   }
 
-  void Update(const BackendServer& registered) {
-    info = registered;
-    for (const auto& [model, version] : info.weights) {
+  // A version that someone else reports, or an earlier row of the server.
+  void RaiseVersion(const std::string& model, std::int64_t version) {
+    if (version > versions[model]) {
       RecordVersion(model, version);
     }
   }
 
+  // What was reported before says nothing new: the server's answers may have
+  // shown another version since.
+  void Update(const BackendServer& registered) {
+    for (const auto& [model, version] : registered.weights) {
+      const auto before = info.weights.find(model);
+      if (before == info.weights.end() || before->second != version) {
+        RaiseVersion(model, version);
+      }
+    }
+    info = registered;
+  }
+
   void Update(const RolloutState& reported, TimePoint now) {
-    RecordVersion(reported.model, reported.version);
+    const bool news = !rollout || rollout->model != reported.model ||
+                      rollout->version != reported.version;
+    if (news) {
+      RaiseVersion(reported.model, reported.version);
+    }
+    rollout = reported;
     if (!reported.switching) {
       switching_since.reset();
     } else if (!switching_since) {
--- a/gateway/src/weights_rollout.cc
+++ b/gateway/src/weights_rollout.cc
@@ -55,11 +55,15 @@
         continue;
       }
       Server& it = servers_[id];
+      if (it.task.born_ms != server.born_ms ||
+          it.task.address != server.address) {
+        it = {};
+      }
       it.task.server_id = id;
       it.task.born_ms = server.born_ms;
       it.task.address = server.address;
       Model& known = it.models[model];
-      known.loaded = std::max(known.loaded, version);
+      OnRow(known, version);
       known.target = target->second;
     }
   }
@@ -79,19 +83,36 @@
     }
     const Model& present = it.models[it.task.model];
     it.task.version = present.target;
-    if (present.loaded >= present.target) {
+    if (!NeedsWork(present)) {
       it.phase = Phase::kDone;
     }
     Advance(it);
   }
 }
 
+void WeightsRollout::OnRow(Model& model, std::int64_t version) {
+  if (version == model.row) {
+    return;
+  }
+  model.row = version;
+  model.doubtful = version < model.loaded;
+  model.loaded = std::max(model.loaded, version);
+}
+
+WeightsRollout::Server* WeightsRollout::Find(const RolloutTask& task) {
+  const auto found = servers_.find(task.server_id);
+  const bool same = found != servers_.end() &&
+                    found->second.task.born_ms == task.born_ms &&
+                    found->second.task.address == task.address;
+  return same ? &found->second : nullptr;
+}
+
 void WeightsRollout::Advance(Server& server) {
   if (server.phase != Phase::kDone) {
     return;
   }
   for (const auto& [model, it] : server.models) {
-    if (it.loaded < it.target) {
+    if (NeedsWork(it)) {
       server.task.model = model;
       server.task.version = it.target;
       server.phase = Phase::kWaiting;
@@ -117,10 +138,9 @@
   return std::any_of(servers_.begin(), servers_.end(), [](const auto& it) {
     const Server& server = it.second;
     return server.phase != Phase::kDone ||
-           std::any_of(server.models.begin(), server.models.end(),
-                       [](const auto& model) {
-                         return model.second.loaded < model.second.target;
-                       });
+           std::any_of(
+               server.models.begin(), server.models.end(),
+               [](const auto& model) { return NeedsWork(model.second); });
   });
 }
 
@@ -153,14 +173,15 @@
 std::optional<WeightsOrder> WeightsRollout::OnReport(const RolloutTask& task,
                                                      const ServerReport& report,
                                                      TimePoint now) {
-  auto found = servers_.find(task.server_id);
-  if (found == servers_.end()) {
+  Server* const server = Find(task);
+  if (server == nullptr) {
     return std::nullopt;
   }
-  Server& it = found->second;
+  Server& it = *server;
   it.report_pending = false;
   it.next_poll = now + kPollPeriod;
   for (auto& [model, known] : it.models) {
+    known.doubtful = false;
     const auto loaded = report.weights.find(model);
     if (loaded != report.weights.end()) {
       known.loaded = loaded->second;
@@ -193,21 +214,20 @@
 }
 
 void WeightsRollout::OnReportFailed(const RolloutTask& task, TimePoint now) {
-  auto found = servers_.find(task.server_id);
-  if (found != servers_.end()) {
-    found->second.report_pending = false;
-    found->second.next_poll = now + kRetryPause;
+  if (Server* const server = Find(task)) {
+    server->report_pending = false;
+    server->next_poll = now + kRetryPause;
   }
 }
 
 void WeightsRollout::OnOrderAnswer(const RolloutTask& task,
                                    std::optional<OrderAnswer> answer,
                                    TimePoint now) {
-  auto found = servers_.find(task.server_id);
-  if (found == servers_.end()) {
+  Server* const server = Find(task);
+  if (server == nullptr) {
     return;
   }
-  Server& it = found->second;
+  Server& it = *server;
   it.report_pending = false;
   it.next_poll = now + kPollPeriod;
   if (!answer) {
--- a/gateway/tests/correctness/load_balancer_test.cc
+++ b/gateway/tests/correctness/load_balancer_test.cc
@@ -442,5 +442,36 @@
   }
 }
 
+// Requests went on to expect weights that the server no longer had.
+TEST_F(LoadBalancerTest, TakesTheWeightsThatAServerAnswersWith) {
+  for (auto& [id, server] : servers_) {
+    if (server.service == "engines") {
+      server.weights["model"] = 3;
+    }
+  }
+  PublishView();
+  const auto weights = [&] {
+    const auto placement = balancer_.Place(LongRequest("sheet"), now_);
+    return placement ? placement->weights_version.value_or(0) : 0;
+  };
+  ASSERT_EQ(weights(), 3);
+  for (int i = 0; i < kServers; ++i) {
+    balancer_.OnVersionMismatch("engine-" + std::to_string(i), "model", 2);
+  }
+  EXPECT_EQ(weights(), 2);
+  {
+    SCOPED_TRACE("what others reported before says nothing new");
+    PublishView();
+    EXPECT_EQ(weights(), 2);
+  }
+  {
+    SCOPED_TRACE("and back");
+    for (int i = 0; i < kServers; ++i) {
+      balancer_.OnVersionMismatch("engine-" + std::to_string(i), "model", 3);
+    }
+    EXPECT_EQ(weights(), 3);
+  }
+}
+
 }  // namespace
 }  // namespace peridotgate::gateway
--- a/gateway/tests/error/weights_rollout_test.cc
+++ b/gateway/tests/error/weights_rollout_test.cc
@@ -286,5 +286,85 @@
   }
 }
 
+// A server that has the target, and its own report of its weights.
+class KnownServer : public testing::Test {
+ protected:
+  KnownServer() {
+    server_.id = "engine";
+    server_.address = {"10.0.0.1", 80};
+    server_.born_ms = 1000;
+    view_.weights =
+        std::make_shared<WeightsTargets>(WeightsTargets{{"model", 3}});
+    PutRow(1);
+    report_.weights = {{"model", 1}};
+    BringToTarget();
+  }
+
+  void PutRow(std::int64_t version) {
+    server_.weights = {{"model", version}};
+    view_.servers =
+        std::make_shared<ServerMap>(ServerMap{{server_.id, server_}});
+    rollout_.OnView(view_, now_);
+  }
+
+  // Returns how many orders that took; the server loads at once.
+  int BringToTarget() {
+    int orders = 0;
+    for (int i = 0; i < 40; ++i) {
+      now_ += milliseconds(100);
+      while (const auto task = rollout_.Next(now_)) {
+        EXPECT_EQ(task->address, server_.address);
+        if (rollout_.OnReport(*task, report_, now_)) {
+          ++orders;
+          report_.weights["model"] = task->version;
+          rollout_.OnOrderAnswer(*task, OrderAnswer::kAccepted, now_);
+        }
+      }
+    }
+    EXPECT_FALSE(rollout_.pending());
+    return orders;
+  }
+
+  BackendServer server_;
+  ServerReport report_;
+  FleetView view_;
+  WeightsRollout rollout_;
+  TimePoint now_{milliseconds(1000)};
+};
+
+// Servers stayed on older weights for good.
+TEST_F(KnownServer, IsOrderedAgainAfterALateOrderTookItBack) {
+  PutRow(3);
+  report_.weights["model"] = 2;
+  PutRow(2);
+  EXPECT_EQ(BringToTarget(), 1);
+  EXPECT_EQ(report_.weights["model"], 3);
+}
+
+TEST_F(KnownServer, WithARowThatLagsGetsNoFurtherOrder) {
+  for (const std::int64_t version : {2, 3}) {
+    PutRow(version);
+    EXPECT_EQ(BringToTarget(), 0);
+  }
+}
+
+TEST_F(KnownServer, IsOrderedAnewAfterARestart) {
+  const RolloutTask before{server_.id, server_.born_ms, server_.address,
+                           "model", 3};
+  for (const bool moved : {false, true}) {
+    SCOPED_TRACE(moved ? "to another address" : "under the same id");
+    if (moved) {
+      server_.address.port = 81;
+    } else {
+      ++server_.born_ms;
+    }
+    report_.weights["model"] = 2;
+    PutRow(2);
+    rollout_.OnOrderAnswer(before, OrderAnswer::kAlreadyHeld, now_);
+    EXPECT_TRUE(rollout_.pending());
+    EXPECT_EQ(BringToTarget(), 1);
+  }
+}
+
 }  // namespace
 }  // namespace peridotgate::gateway
