Send orders to the address at which a server is now

Cause: the leader of a rollout kept one HTTP client for each id, made with the address that the server had at first.

Change: the client is replaced when the task names another address.

--- a/gateway/src/rollout_leader.cc
+++ b/gateway/src/rollout_leader.cc
@@ -151,7 +151,11 @@
   std::optional<TimePoint> leaves_at;
   coordination::Duration leave_time{};
   bool ended = false;
-  std::map<std::string, std::shared_ptr<runtime::HttpClient>> clients;
+  struct ServerClient {
+    runtime::Endpoint address;
+    std::shared_ptr<runtime::HttpClient> client;
+  };
+  std::map<std::string, ServerClient> clients;  // By the server's id.
   std::function<void(const routing::ServerNotice&)> on_notice;
   std::function<void(const routing::Incarnation&)> on_request;
 
@@ -342,12 +346,13 @@
   }
 
   std::shared_ptr<runtime::HttpClient> GetClient(const RolloutTask& task) {
-    auto& client = clients[task.server_id];
-    if (!client) {
-      client = std::make_shared<runtime::HttpClient>(
+    ServerClient& it = clients[task.server_id];
+    if (!it.client || it.address != task.address) {
+      it.address = task.address;
+      it.client = std::make_shared<runtime::HttpClient>(
           duty.context(), task.address, kMaxReportBytes);
     }
-    return client;
+    return it.client;
   }
 
   asio::awaitable<void> AdvanceServer(RolloutTask task) {
