--- a/gateway/tests/error/fleet_state_test.cc
+++ b/gateway/tests/error/fleet_state_test.cc
@@ -153,12 +153,12 @@
 class RestoredRows : public FleetStateTest {
  protected:
   // Applies the full table of a new era.
-  void Restore(std::vector<std::pair<std::string, std::string>> rows) {
+  void Restore(const std::vector<std::pair<std::string, std::string>>& rows) {
     ++era_;
     version_ = 1;
     StoredRows table;
     table.version = At();
-    for (auto& [key, value] : rows) {
+    for (const auto& [key, value] : rows) {
       table.rows.push_back({key, value, At(), false});
     }
     state_.OnServerRows(table, true, now_);
