--- a/gateway/include/gateway/weights_rollout.h
+++ b/gateway/include/gateway/weights_rollout.h
@@ -35,8 +35,9 @@
  * that was carried out late may have taken it back to older weights. Its row
  * lags behind the report, so a change of the row to an older version only shows
  * that the report must be fetched again.
- * The owner calls `Next` for a server, fetches its
- * report, and sends an order if `OnReport` returns one.
+ *
+ * The owner calls `Next` for a server, fetches its report, and sends an order
+ * if `OnReport` returns one.
  *
  *     while (auto task = rollout.Next(now)) {
  *       auto report = FetchReport(*task);
