Carry out orders late in the soak, also after a restart

A server leaves an order unanswered and carries it out 4 s later; half of the time it has restarted under its id by then. weights_in_place then checks that servers that were taken back get the published weights again. The check that orders on time only go forward is as strict as before.

--- a/testing/soak/server_stand_in.h
+++ b/testing/soak/server_stand_in.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -54,6 +55,10 @@
   /** Whether it runs under this id. */
   bool IsUp(const std::string& id) const { return up_ && id_ == id; }
 
+  /** Leaves its next order unanswered and carries it out after `time`, also if
+   * it has restarted under its id by then. */
+  void DelayNextOrder(std::chrono::milliseconds time) { order_delay_ = time; }
+
   /** Names this limit in its answers, in requests a second; 0: names none. */
   void SetLimit(double per_s) { limit_per_s_ = per_s; }
   /** The requests that reached this server so far. */
@@ -70,7 +75,11 @@
                                      runtime::HttpExchange& exchange);
   asio::awaitable<void> HandleCall(const runtime::HttpRequest& request,
                                    runtime::HttpExchange& exchange);
-  runtime::HttpResponse HandleOrder(const runtime::HttpRequest& request);
+  asio::awaitable<void> HandleOrder(const runtime::HttpRequest& request,
+                                    runtime::HttpExchange& exchange);
+  runtime::HttpResponse AcceptOrder(const json::value& order, bool late);
+  asio::awaitable<void> CarryOutLate(json::value order,
+                                     std::chrono::milliseconds delay);
   asio::awaitable<void> LoadWeights(std::int64_t version);
   void RecordRun(const runtime::HttpRequest& request);
   void Register();
@@ -93,6 +102,7 @@
   std::size_t arrivals_ = 0;
   std::int64_t order_sequence_ = 0;
   std::int64_t highest_token_ = 0;
+  std::optional<std::chrono::milliseconds> order_delay_;
   bool draining_ = false;
   SteadyTime draining_since_{};
   runtime::HttpServer server_;
--- a/testing/soak/soak_faults.cc
+++ b/testing/soak/soak_faults.cc
@@ -42,6 +42,7 @@
                  &SoakFaults::SilenceServerConnections},
       NamedFault{"server_leaves", &SoakFaults::DrainServer},
       NamedFault{"weights_named", &SoakFaults::PublishWeights},
+      NamedFault{"order_late", &SoakFaults::DelayOrder},
       NamedFault{"server_limited", &SoakFaults::LimitServer}};
   return kAll;
 }
@@ -237,6 +238,24 @@
   it.SetLimit(0);
 }
 
+// An order gets no answer and is carried out late, half of the time after its
+// server has restarted under its id, so that its count of orders starts anew.
+asio::awaitable<void> SoakFaults::DelayOrder() {
+  constexpr milliseconds kDelay{4000};
+  ServerStandIn& it = PickServer();
+  const bool restarts = random_() % 2 == 0;
+  it.DelayNextOrder(kDelay);
+  fleet_.PublishWeights(fleet_.weights_version() + 1);
+  co_await Pause(1000, 2500);
+  fleet_.PublishWeights(fleet_.weights_version() + 1);
+  if (restarts) {
+    it.Crash();
+    co_await Pause(100, 500);
+    it.Start(true);
+  }
+  co_await Pause(kDelay.count(), kDelay.count());
+}
+
 asio::awaitable<void> SoakFaults::PublishWeights() {
   fleet_.PublishWeights(fleet_.weights_version() + 1);
   co_return;
--- a/testing/soak/soak_faults.h
+++ b/testing/soak/soak_faults.h
@@ -47,6 +47,7 @@
   asio::awaitable<void> SilenceServerConnections();
   asio::awaitable<void> DrainServer();
   asio::awaitable<void> PublishWeights();
+  asio::awaitable<void> DelayOrder();
   asio::awaitable<void> LimitServer();
 
   /** A random gateway that no other fault has stopped or paused, if any. */
