Connect again in the tests when a signal interrupts it

The fuzzer of requests ended after 28,743 runs: its timer's signal interrupted connect() of the test's client, which threw. The client tries again now, also when no port is free for a moment.

--- a/testing/http/piecewise.h
+++ b/testing/http/piecewise.h
@@ -197,8 +197,15 @@
     if (socket_) {
       return;
     }
-    socket_.emplace(own_context_);
-    socket_->connect({asio::ip::make_address(server_.address), server_.port});
+    // A signal may interrupt the call, and after many connections in a row no
+    // port may be free for a moment.
+    const auto end = Clock::now() + kTimeout;
+    boost::system::error_code ec;
+    do {
+      socket_.emplace(own_context_);
+      socket_->connect({asio::ip::make_address(server_.address), server_.port},
+                       ec);
+    } while (ec && Clock::now() < end);
     socket_->set_option(tcp::no_delay(true));
     socket_->non_blocking(true);
   }
